--- /dev/null
+++ b/internal/controller/cluster.go
@@ -0,0 +1,239 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ambersill/internal/core"
+	"ambersill/internal/store"
+	"ambersill/internal/wire"
+)
+
+// Keys of the cluster: who leads, owns and lives, machines and rentals.
+const (
+	clusterPrefix = "c/"
+	leadKey       = "c/lead"
+	nodePrefix    = "c/n/"
+	partPrefix    = "c/p/"
+	machinePrefix = "c/m/"
+	hirePrefix    = "c/h/"
+	summaryPrefix = "s/"
+)
+
+func summaryKey(part int) string { return summaryPrefix + strconv.Itoa(part) }
+
+type owner struct {
+	node  string
+	stamp uint64
+}
+
+type machineEntry struct {
+	rec   core.MachineRecord
+	stamp uint64
+}
+
+type hireEntry struct {
+	rec   core.HireRecord
+	stamp uint64
+}
+
+// cluster is a copy of the cluster's keys, kept by a watch. It lags, so that
+// decisions based on it are only ever committed under the stamps it shows.
+type cluster struct {
+	mu       sync.Mutex
+	loaded   bool
+	lead     owner
+	parts    map[int]owner
+	nodes    map[string]uint64
+	machines map[string]machineEntry
+	hires    map[string]hireEntry
+	changed  chan struct{} // closed and replaced at every change
+	onChange func(machine string, e machineEntry, gone bool)
+	onOwner  func(part int, o owner)
+}
+
+func newCluster() *cluster {
+	return &cluster{parts: map[int]owner{}, nodes: map[string]uint64{}, machines: map[string]machineEntry{},
+		hires: map[string]hireEntry{}, changed: make(chan struct{})}
+}
+
+func (c *cluster) wait() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// apply takes in one key; gone: it was deleted at that stamp.
+func (c *cluster) apply(key string, value wire.Raw, stamp uint64, gone bool) {
+	c.mu.Lock()
+	var after func()
+	switch {
+	case key == leadKey:
+		if stamp >= c.lead.stamp {
+			c.lead = c.owner(value, stamp, gone)
+		}
+	case strings.HasPrefix(key, partPrefix):
+		if i, err := strconv.Atoi(key[len(partPrefix):]); err == nil && stamp >= c.parts[i].stamp {
+			o := c.owner(value, stamp, gone)
+			c.parts[i] = o
+			if c.onOwner != nil {
+				after = func() { c.onOwner(i, o) }
+			}
+		}
+	case strings.HasPrefix(key, nodePrefix):
+		if gone {
+			delete(c.nodes, key[len(nodePrefix):])
+		} else {
+			c.nodes[key[len(nodePrefix):]] = stamp
+		}
+	case strings.HasPrefix(key, machinePrefix):
+		id := key[len(machinePrefix):]
+		if gone {
+			delete(c.machines, id)
+			if c.onChange != nil {
+				after = func() { c.onChange(id, machineEntry{}, true) }
+			}
+			break
+		}
+		var r core.MachineRecord
+		if wire.Unmarshal(value, &r) == nil && stamp >= c.machines[id].stamp {
+			e := machineEntry{r, stamp}
+			c.machines[id] = e
+			if c.onChange != nil {
+				after = func() { c.onChange(id, e, false) }
+			}
+		}
+	case strings.HasPrefix(key, hirePrefix):
+		id := key[len(hirePrefix):]
+		if gone {
+			delete(c.hires, id)
+			break
+		}
+		var r core.HireRecord
+		if wire.Unmarshal(value, &r) == nil {
+			c.hires[id] = hireEntry{r, stamp}
+		}
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.mu.Unlock()
+	if after != nil {
+		after()
+	}
+}
+
+func (c *cluster) owner(value wire.Raw, stamp uint64, gone bool) owner {
+	if gone {
+		return owner{stamp: stamp}
+	}
+	var r core.OwnerRecord
+	if wire.Unmarshal(value, &r) != nil {
+		return owner{stamp: stamp}
+	}
+	return owner{node: r.Node, stamp: stamp}
+}
+
+// reset replaces the copy by a fresh listing.
+func (c *cluster) reset(items []wire.Item, rev uint64) {
+	have := map[string]bool{}
+	for _, it := range items {
+		have[it.Key] = true
+		c.apply(it.Key, it.Value, it.Stamp, false)
+	}
+	c.mu.Lock()
+	var gone []string
+	for i, o := range c.parts {
+		if k := core.PartKey(i); !have[k] && o.node != "" {
+			gone = append(gone, k)
+		}
+	}
+	if c.lead.node != "" && !have[leadKey] {
+		gone = append(gone, leadKey)
+	}
+	for n := range c.nodes {
+		if !have[nodePrefix+n] {
+			gone = append(gone, nodePrefix+n)
+		}
+	}
+	for n, e := range c.machines {
+		if !have[machinePrefix+n] && e.stamp <= rev {
+			gone = append(gone, machinePrefix+n)
+		}
+	}
+	for n := range c.hires {
+		if !have[hirePrefix+n] {
+			gone = append(gone, hirePrefix+n)
+		}
+	}
+	c.mu.Unlock()
+	for _, k := range gone {
+		c.apply(k, nil, rev, true)
+	}
+	c.mu.Lock()
+	c.loaded = true
+	c.mu.Unlock()
+}
+
+// watchWait is how long one watch stays open.
+const watchWait = 20 * time.Second
+
+// follow lists a prefix and then follows its changes until the context ends.
+func follow(ctx context.Context, st *store.Client, prefix string, list func([]wire.Item, uint64), event func(wire.Event)) {
+	for ctx.Err() == nil {
+		items, rev, err := st.List(ctx, prefix)
+		if err != nil {
+			slog.Debug("listing failed", "prefix", prefix, "err", err)
+			pause(ctx, 500*time.Millisecond)
+			continue
+		}
+		list(items, rev)
+		followFrom(ctx, st, prefix, rev, event)
+	}
+}
+
+// followFrom follows a prefix's changes; it returns when they are no longer kept.
+func followFrom(ctx context.Context, st *store.Client, prefix string, rev uint64, event func(wire.Event)) {
+	for ctx.Err() == nil {
+		r, err := st.Watch(ctx, prefix, rev, watchWait)
+		switch {
+		case errors.Is(err, store.ErrCompacted):
+			return
+		case err != nil:
+			slog.Debug("watch failed", "prefix", prefix, "err", err)
+			pause(ctx, 300*time.Millisecond)
+			continue
+		}
+		for _, e := range r.Events {
+			event(e)
+		}
+		rev = max(rev, r.Revision)
+	}
+}
+
+// pause waits, but not beyond the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (c *cluster) snapshotOwner(part int) owner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parts[part]
+}
+
+func (c *cluster) machine(id string) (machineEntry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.machines[id]
+	return e, ok
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,447 @@
+// Package controller joins the parts of ambersill: it keeps this node's lease,
+// claims parts and the lead, and runs what it has claimed.
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"runtime"
+	"sync"
+	"time"
+
+	"ambersill/internal/cloud"
+	"ambersill/internal/config"
+	"ambersill/internal/core"
+	"ambersill/internal/mesh"
+	"ambersill/internal/store"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+	"ambersill/internal/worker"
+)
+
+// Controller is one node.
+type Controller struct {
+	s       *config.Settings
+	t       tuning.Tuning
+	store   *store.Client
+	cloud   *cloud.Client
+	workers *worker.Client
+	cluster *cluster
+	peers   map[string]*mesh.Peer
+	parts   int
+
+	mu       sync.Mutex
+	types    []wire.MachineType
+	owned    map[int]*owned
+	hold     uint64
+	finals   map[string]core.JobRecord
+	strays   map[string]wire.Report // machines that report without a record
+	restPart map[int]time.Time      // parts not to be claimed again at once
+}
+
+// New makes a controller that has not started yet.
+func New(s *config.Settings, t tuning.Tuning) *Controller {
+	st := s.Cluster.State
+	c := &Controller{
+		s: s, t: t, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
+		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, strays: map[string]wire.Report{}, restPart: map[int]time.Time{},
+		store:   store.New(store.Options{Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
+		cloud:   cloud.New(s.Outside.Cloud, s.Cluster.Cloud.RPS),
+		workers: worker.New(tuning.Seconds(s.Cluster.Workers.ReportS)),
+	}
+	if c.parts == 0 {
+		c.parts = s.Cluster.Count
+	}
+	for _, m := range s.Members {
+		c.peers[m.Node] = &mesh.Peer{Member: m}
+	}
+	c.cluster.onChange = c.machineChanged
+	c.cluster.onOwner = c.ownerChanged
+	c.share()
+	return c
+}
+
+// Run serves until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	duty := func(name string, f func(context.Context) error) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := f(ctx); err != nil && ctx.Err() == nil {
+				slog.Error("duty failed", "duty", name, "err", err)
+				cancel(err)
+			}
+		}()
+	}
+	slog.Info("starting", "node", c.s.Node, "parts", c.parts)
+	duty("users and workers", c.serve)
+	duty("mesh", func(ctx context.Context) error { return mesh.Serve(ctx, c.s.MeshAddr, c) })
+	duty("cluster watch", func(ctx context.Context) error {
+		follow(ctx, c.store, clusterPrefix, c.cluster.reset, func(e wire.Event) {
+			if e.Delete != "" {
+				c.cluster.apply(e.Delete, nil, e.Stamp, true)
+			} else {
+				c.cluster.apply(e.Put, e.Value, e.Stamp, false)
+			}
+		})
+		return nil
+	})
+	duty("catalog", c.keepCatalog)
+	duty("membership", c.keepMembership)
+	duty("lead", c.keepLead)
+	duty("log", c.keepLog)
+	<-ctx.Done()
+	c.leave()
+	wg.Wait()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// leave gives up all that is held, so that others need not wait for the lease.
+func (c *Controller) leave() {
+	c.mu.Lock()
+	hold := c.hold
+	for _, o := range c.owned {
+		o.cancel()
+	}
+	c.mu.Unlock()
+	if hold != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), tuning.Seconds(c.t.StateTimeoutS))
+		defer cancel()
+		_ = c.store.End(ctx, hold)
+	}
+	slog.Info("stopped", "node", c.s.Node)
+}
+
+// keepCatalog learns the machine types, and follows their prices.
+func (c *Controller) keepCatalog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		types, err := c.cloud.Catalog(ctx)
+		if err != nil || len(types) == 0 {
+			slog.Debug("catalog not read", "err", err)
+			pause(ctx, time.Second)
+			continue
+		}
+		c.mu.Lock()
+		c.types = types
+		owned := c.ownedParts()
+		c.mu.Unlock()
+		for _, o := range owned {
+			o.mu.Lock()
+			if o.p != nil {
+				o.p.SetTypes(types)
+			}
+			o.mu.Unlock()
+		}
+		pause(ctx, 30*time.Second)
+	}
+	return nil
+}
+
+func (c *Controller) catalog() []wire.MachineType {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.types
+}
+
+// ownedParts lists the parts in order; c.mu must be held.
+func (c *Controller) ownedParts() []*owned {
+	out := make([]*owned, 0, len(c.owned))
+	for i := 0; i < c.parts; i++ {
+		if o := c.owned[i]; o != nil {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (c *Controller) ownedPart(i int) *owned {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owned[i]
+}
+
+// share sets this node's part of the state service's limits: an equal base for
+// users' requests, and the rest by the parts it owns.
+func (c *Controller) share() {
+	st := c.s.Cluster.State
+	n := float64(c.s.Cluster.Count)
+	c.mu.Lock()
+	f := 0.4/n + 0.6*float64(len(c.owned))/float64(c.parts)
+	c.mu.Unlock()
+	f *= 1 - c.t.ShareReserve
+	c.store.SetShare(st.RPS*f, st.WriteRPS*f)
+}
+
+// keepMembership keeps the node's hold, and claims parts that nobody owns.
+func (c *Controller) keepMembership(ctx context.Context) error {
+	every := tuning.Seconds(c.t.HoldS / 4)
+	var extended time.Time
+	for ctx.Err() == nil {
+		if c.hold == 0 {
+			h, err := c.store.Grant(ctx, tuning.Seconds(c.t.HoldS))
+			if err != nil {
+				pause(ctx, 300*time.Millisecond)
+				continue
+			}
+			c.setHold(h)
+			extended = time.Now()
+			if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{{Put: nodePrefix + c.s.Node, Value: core.OwnerRecord{Node: c.s.Node}, Hold: h}}}); err != nil {
+				slog.Debug("node not entered", "err", err)
+			}
+		}
+		if time.Since(extended) >= every {
+			err := c.store.Extend(ctx, c.hold)
+			switch {
+			case err == nil:
+				extended = time.Now()
+			case errors.Is(err, store.ErrNotFound):
+				// The hold ran out: whatever was attached to it is gone, and others
+				// may own it by now.
+				slog.Info("hold lost", "hold", c.hold)
+				c.setHold(0)
+				c.loseAll()
+				continue
+			default:
+				slog.Debug("hold not renewed", "err", err)
+				pause(ctx, 200*time.Millisecond)
+				continue
+			}
+		}
+		c.claimParts(ctx)
+		wait := c.cluster.wait()
+		t := time.NewTimer(min(every, 250*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-wait:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func (c *Controller) setHold(h uint64) {
+	c.mu.Lock()
+	c.hold = h
+	c.mu.Unlock()
+}
+
+func (c *Controller) currentHold() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hold
+}
+
+// claimParts takes parts without an owner: those that fall to this node at
+// once, others if nobody else takes them.
+func (c *Controller) claimParts(ctx context.Context) {
+	if len(c.catalog()) == 0 {
+		return
+	}
+	c.cluster.mu.Lock()
+	loaded := c.cluster.loaded
+	owners := map[int]owner{}
+	counts := map[string]int{}
+	for i := 0; i < c.parts; i++ {
+		owners[i] = c.cluster.parts[i]
+		counts[owners[i].node]++
+	}
+	nodes := len(c.cluster.nodes)
+	c.cluster.mu.Unlock()
+	if !loaded {
+		return
+	}
+	for i := 0; i < c.parts; i++ {
+		o := owners[i]
+		mine := c.ownedPart(i)
+		if o.node == c.s.Node && mine == nil {
+			// Left by an earlier process of this node, which is gone for sure.
+			c.claim(ctx, i, o.stamp, false)
+			continue
+		}
+		if o.node != "" || mine != nil {
+			continue
+		}
+		c.mu.Lock()
+		rest := c.restPart[i]
+		c.mu.Unlock()
+		if time.Now().Before(rest) {
+			continue
+		}
+		fair := (c.parts + max(nodes, 1) - 1) / max(nodes, 1)
+		if counts[c.s.Node] >= fair {
+			pause(ctx, time.Second)
+			if c.cluster.snapshotOwner(i).node != "" {
+				continue
+			}
+		}
+		c.claim(ctx, i, 0, true)
+		counts[c.s.Node]++
+	}
+}
+
+func (c *Controller) claim(ctx context.Context, part int, stamp uint64, fresh bool) {
+	hold := c.currentHold()
+	if hold == 0 {
+		return
+	}
+	key := core.PartKey(part)
+	rev, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Cond{{Key: key, Stamp: stamp}},
+		Then: []wire.Write{{Put: key, Value: core.OwnerRecord{Node: c.s.Node}, Hold: hold}},
+	})
+	if errors.Is(err, store.ErrUnknown) {
+		// It may have been carried out: the key tells.
+		it, gerr := c.store.Get(ctx, key)
+		if gerr != nil || it.Hold != hold {
+			return
+		}
+		rev, err = it.Stamp, nil
+	}
+	if err != nil {
+		slog.Debug("part not claimed", "part", part, "err", err)
+		if !fresh {
+			// The copy may lag behind; look again.
+			if it, gerr := c.store.Get(ctx, key); gerr == nil {
+				c.cluster.apply(key, it.Value, it.Stamp, false)
+			}
+		}
+		return
+	}
+	slog.Info("part claimed", "part", part, "stamp", rev)
+	o := c.newOwned(ctx, part, rev)
+	c.mu.Lock()
+	c.owned[part] = o
+	c.mu.Unlock()
+	c.share()
+	c.cluster.apply(key, must(wire.Marshal(core.OwnerRecord{Node: c.s.Node})), rev, false)
+	go o.run()
+	for _, p := range c.peers {
+		go func() {
+			_ = p.Call("Mesh.Claimed", mesh.Claim{Part: part, Stamp: rev, Node: c.s.Node}, &struct{}{}, 2*time.Second)
+		}()
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// lose drops a part that this node no longer owns.
+func (c *Controller) lose(o *owned, why string) {
+	c.mu.Lock()
+	if c.owned[o.index] != o {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.owned, o.index)
+	c.mu.Unlock()
+	o.cancel()
+	c.share()
+	slog.Info("part given up", "part", o.index, "why", why)
+}
+
+func (c *Controller) loseAll() {
+	c.mu.Lock()
+	all := c.ownedParts()
+	c.mu.Unlock()
+	for _, o := range all {
+		c.lose(o, "hold lost")
+	}
+}
+
+// ownerChanged drops a part whose key shows another owner, or another claim.
+func (c *Controller) ownerChanged(part int, w owner) {
+	if o := c.ownedPart(part); o != nil && w.stamp > o.stamp {
+		c.lose(o, "owned by "+w.node)
+	}
+}
+
+// Claimed is the mesh's hint that another node has taken a part.
+func (c *Controller) Claimed(cl mesh.Claim) {
+	if cl.Part < 0 || cl.Part >= c.parts {
+		return
+	}
+	v, err := wire.Marshal(core.OwnerRecord{Node: cl.Node})
+	if err != nil {
+		return
+	}
+	c.cluster.apply(core.PartKey(cl.Part), v, cl.Stamp, false)
+}
+
+// View counts the tasks of a job that this node runs.
+func (c *Controller) View(job string) (int, int, bool) {
+	c.mu.Lock()
+	all := c.ownedParts()
+	c.mu.Unlock()
+	for _, o := range all {
+		o.mu.Lock()
+		d, r, ok := 0, 0, false
+		if o.p != nil {
+			d, r, ok = o.p.View(job)
+		}
+		o.mu.Unlock()
+		if ok {
+			return d, r, true
+		}
+	}
+	return 0, 0, false
+}
+
+// Contact is the time since the state service last served this node.
+func (c *Controller) Contact() time.Duration { return c.store.SinceContact() }
+
+func (c *Controller) machineChanged(id string, e machineEntry, gone bool) {
+	c.mu.Lock()
+	all := c.ownedParts()
+	delete(c.strays, id)
+	c.mu.Unlock()
+	for _, o := range all {
+		o.mu.Lock()
+		if o.p != nil {
+			if gone {
+				o.p.RemoveMachine(id, time.Now())
+			} else {
+				o.p.SetMachine(id, e.rec, e.stamp, time.Now())
+			}
+		}
+		o.mu.Unlock()
+		o.poke()
+	}
+}
+
+// keepLog writes a line of counters now and then.
+func (c *Controller) keepLog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, 30*time.Second)
+		var ms runtime.MemStats
+		runtime.ReadMemStats(&ms)
+		ok, refused, unknown := c.store.Counts()
+		c.mu.Lock()
+		all := c.ownedParts()
+		finals := len(c.finals)
+		c.mu.Unlock()
+		args := []any{"heap_mb", ms.HeapAlloc >> 20, "sys_mb", ms.Sys >> 20, "goroutines", runtime.NumGoroutine(),
+			"state_ok", ok, "state_refused", refused, "state_unknown", unknown, "final_jobs_cached", finals}
+		for _, o := range all {
+			o.mu.Lock()
+			if o.p != nil {
+				args = append(args, "part", o.index, "jobs", o.p.Jobs(), "machines", len(o.p.MachineIDs()), "started", o.p.Started,
+					"finished", o.p.Finished, "requeued", o.p.Requeued, "preempted", o.p.Preempted)
+			}
+			o.mu.Unlock()
+		}
+		slog.Info("counters", args...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/leader.go
@@ -0,0 +1,482 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sort"
+	"time"
+
+	"ambersill/internal/cloud"
+	"ambersill/internal/core"
+	"ambersill/internal/store"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// keepLead claims the lead when it is free, and leads while it is this node's.
+func (c *Controller) keepLead(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.cluster.mu.Lock()
+		lead, loaded := c.cluster.lead, c.cluster.loaded
+		c.cluster.mu.Unlock()
+		hold := c.currentHold()
+		if loaded && hold != 0 && (lead.node == "" || lead.node == c.s.Node) {
+			stamp := uint64(0)
+			if lead.node != "" {
+				stamp = lead.stamp // an earlier process of this node, surely gone
+			}
+			if rev, err := c.claimKey(ctx, leadKey, stamp, hold); err == nil {
+				c.cluster.apply(leadKey, must(wire.Marshal(core.OwnerRecord{Node: c.s.Node})), rev, false)
+				newLeader(c, rev).run(ctx)
+			} else {
+				slog.Debug("lead not claimed", "err", err)
+			}
+		}
+		pause(ctx, 300*time.Millisecond)
+	}
+	return nil
+}
+
+// claimKey writes this node's name under its hold if the key has the stamp.
+func (c *Controller) claimKey(ctx context.Context, key string, stamp, hold uint64) (uint64, error) {
+	rev, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Cond{{Key: key, Stamp: stamp}},
+		Then: []wire.Write{{Put: key, Value: core.OwnerRecord{Node: c.s.Node}, Hold: hold}},
+	})
+	if !errors.Is(err, store.ErrUnknown) {
+		return rev, err
+	}
+	// It may have been carried out: the key tells.
+	it, gerr := c.store.Get(ctx, key)
+	if gerr != nil || it.Hold != hold {
+		return 0, err
+	}
+	return it.Stamp, nil
+}
+
+// leader sizes the fleet while this node leads.
+type leader struct {
+	c     *Controller
+	stamp uint64
+	fleet *core.Fleet
+	next  int // number of the next rental of this term
+
+	listed  map[string]wire.CloudMachine
+	absent  map[string]int       // lists in a row that lack a machine once listed
+	seen    map[string]bool      // machines once listed
+	gone    map[string]time.Time // machines returned, which the list may still show
+	refused map[core.Kind]refusal
+	sums    map[int]core.Summary
+	round   time.Time
+	tried   map[string]time.Time // last call for a recorded rental
+}
+
+type refusal struct {
+	until time.Time
+	wait  float64
+}
+
+func newLeader(c *Controller, stamp uint64) *leader {
+	return &leader{c: c, stamp: stamp, fleet: core.NewFleet(&c.t), listed: map[string]wire.CloudMachine{}, absent: map[string]int{},
+		seen: map[string]bool{}, gone: map[string]time.Time{}, refused: map[core.Kind]refusal{}, sums: map[int]core.Summary{}, tried: map[string]time.Time{}}
+}
+
+// leads tells whether the lead's key still shows this term.
+func (l *leader) leads() bool {
+	l.c.cluster.mu.Lock()
+	defer l.c.cluster.mu.Unlock()
+	return l.c.cluster.lead.stamp == l.stamp && l.c.currentHold() != 0
+}
+
+func (l *leader) run(ctx context.Context) {
+	slog.Info("leading", "stamp", l.stamp)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var lastList, lastSum time.Time
+	for ctx.Err() == nil && l.leads() {
+		now := time.Now()
+		if now.Sub(lastList) >= tuning.Seconds(l.c.t.ListS) {
+			lastList = now
+			l.readList(ctx)
+		}
+		l.finishHires(ctx)
+		if now.Sub(lastSum) >= tuning.Seconds(l.c.t.SummaryS) {
+			lastSum = now
+			l.readSummaries(ctx)
+		}
+		l.giveBack(ctx)
+		if urgent := l.urgent(); now.Sub(l.round) >= tuning.Seconds(l.c.t.RoundS) || urgent {
+			l.round = now
+			l.size(ctx)
+		}
+		pause(ctx, 250*time.Millisecond)
+	}
+	slog.Info("no longer leading", "stamp", l.stamp)
+}
+
+// urgent: work waits and there is no machine at all, nor one to come.
+func (l *leader) urgent() bool {
+	l.c.cluster.mu.Lock()
+	n := len(l.c.cluster.machines) + len(l.c.cluster.hires)
+	l.c.cluster.mu.Unlock()
+	if n > 0 {
+		return false
+	}
+	for _, s := range l.sums {
+		if len(s.Waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// commit runs a transaction of the leader's, fenced by the lead's stamp.
+func (l *leader) commit(ctx context.Context, conds []wire.Cond, then []wire.Write) (uint64, error) {
+	return l.c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{{Key: leadKey, Stamp: l.stamp}}, conds...), Then: then})
+}
+
+func (l *leader) machines() (ids []string, all map[string]machineEntry) {
+	l.c.cluster.mu.Lock()
+	defer l.c.cluster.mu.Unlock()
+	all = make(map[string]machineEntry, len(l.c.cluster.machines))
+	for id, e := range l.c.cluster.machines {
+		all[id] = e
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids, all
+}
+
+// readList compares the cloud's list with the records.
+func (l *leader) readList(ctx context.Context) {
+	list, err := l.c.cloud.List(ctx)
+	if err != nil {
+		slog.Debug("machines not listed", "err", err)
+		return
+	}
+	now := time.Now()
+	l.listed = map[string]wire.CloudMachine{}
+	for _, m := range list {
+		l.listed[m.ID] = m
+		l.seen[m.ID] = true
+	}
+	ids, recs := l.machines()
+	for _, id := range ids {
+		if _, ok := l.listed[id]; ok || !l.seen[id] {
+			l.absent[id] = 0
+			continue
+		}
+		l.absent[id]++
+	}
+	for id, at := range l.gone {
+		if now.Sub(at) > 2*time.Minute {
+			delete(l.gone, id)
+		}
+	}
+	// Machines nobody expected: rented late, by a lost request, or there from
+	// the start. They are taken in; sizing gives them back if they are too many.
+	// Rentals without an answer yet may be theirs, so those come first.
+	l.c.cluster.mu.Lock()
+	open := len(l.c.cluster.hires)
+	l.c.cluster.mu.Unlock()
+	if open > 0 {
+		return
+	}
+	var writes []wire.Write
+	var conds []wire.Cond
+	for _, m := range list {
+		if _, ok := recs[m.ID]; ok || m.State == wire.Failed {
+			continue
+		}
+		if _, ok := l.gone[m.ID]; ok {
+			continue
+		}
+		rec := core.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: l.partFor(recs),
+			Born: now.UnixMilli() - int64(m.Age*1000)}
+		recs[m.ID] = machineEntry{rec: rec}
+		key := machinePrefix + m.ID
+		conds = append(conds, wire.Cond{Key: key, Stamp: 0})
+		writes = append(writes, wire.Write{Put: key, Value: rec})
+	}
+	for len(writes) > 0 {
+		n := min(len(writes), l.c.s.Cluster.State.TxnOps)
+		if _, err := l.commit(ctx, conds[:n], writes[:n]); err != nil {
+			slog.Debug("machines not taken in", "err", err)
+			return
+		}
+		slog.Info("machines taken in", "count", n)
+		writes, conds = writes[n:], conds[n:]
+	}
+	for _, m := range list {
+		if _, ok := recs[m.ID]; !ok && m.State == wire.Failed {
+			l.giveUp(ctx, []string{m.ID}, "failed")
+		}
+	}
+}
+
+// partFor spreads machines taken in over the parts.
+func (l *leader) partFor(recs map[string]machineEntry) int {
+	count := make([]int, l.c.parts)
+	for _, e := range recs {
+		if e.rec.Part < len(count) {
+			count[e.rec.Part]++
+		}
+	}
+	best := 0
+	for i, n := range count {
+		if n < count[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func (l *leader) readSummaries(ctx context.Context) {
+	items, _, err := l.c.store.List(ctx, summaryPrefix)
+	if err != nil {
+		slog.Debug("summaries not read", "err", err)
+		return
+	}
+	for _, it := range items {
+		var s core.Summary
+		var part int
+		if _, err := fmt.Sscanf(it.Key, summaryPrefix+"%d", &part); err != nil || part >= l.c.parts {
+			continue
+		}
+		if wire.Unmarshal(it.Value, &s) == nil {
+			l.sums[part] = s
+		}
+	}
+}
+
+// finishHires calls the cloud for each recorded rental, and again under the same
+// name until there is an answer, also for those of earlier leaders.
+func (l *leader) finishHires(ctx context.Context) {
+	l.c.cluster.mu.Lock()
+	hires := make(map[string]hireEntry, len(l.c.cluster.hires))
+	names := make([]string, 0, len(l.c.cluster.hires))
+	for n, h := range l.c.cluster.hires {
+		hires[n] = h
+		names = append(names, n)
+	}
+	l.c.cluster.mu.Unlock()
+	sort.Strings(names)
+	for _, name := range names {
+		h := hires[name]
+		if at, ok := l.tried[name]; ok && time.Since(at) < 2*time.Second {
+			continue
+		}
+		l.tried[name] = time.Now()
+		kind := core.Kind{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}
+		ids, err := l.c.cloud.Rent(ctx, wire.RentRequest{Request: name, Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Count: h.rec.Count})
+		key := hirePrefix + name
+		conds := []wire.Cond{{Key: key, Stamp: h.stamp}}
+		then := []wire.Write{{Delete: key}}
+		switch {
+		case err == nil:
+			for _, id := range ids {
+				k := machinePrefix + id
+				rec := core.MachineRecord{Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Part: h.rec.Part, Born: time.Now().UnixMilli()}
+				if m, ok := l.listed[id]; ok {
+					rec.Addr = m.Addr
+				}
+				if _, known := l.c.cluster.machine(id); known {
+					continue
+				}
+				conds = append(conds, wire.Cond{Key: k, Stamp: 0})
+				then = append(then, wire.Write{Put: k, Value: rec})
+			}
+			slog.Info("rented", "request", name, "type", kind.Type, "zone", kind.Zone, "spot", kind.Spot, "asked", h.rec.Count, "got", len(ids))
+			if len(ids) < h.rec.Count {
+				l.refuse(kind)
+			} else {
+				delete(l.refused, kind)
+			}
+		case errors.Is(err, cloud.ErrNoCapacity):
+			l.refuse(kind)
+			slog.Info("rental refused", "type", kind.Type, "zone", kind.Zone, "spot", kind.Spot)
+		default:
+			slog.Debug("rental unanswered", "request", name, "err", err)
+			continue
+		}
+		rev, err := l.commit(ctx, conds, then)
+		if err != nil {
+			slog.Debug("rental not recorded", "request", name, "err", err)
+			continue
+		}
+		l.c.cluster.apply(key, nil, rev, true)
+		for _, w := range then[1:] {
+			l.c.cluster.apply(w.Put, must(wire.Marshal(w.Value)), rev, false)
+		}
+	}
+}
+
+func (l *leader) refuse(k core.Kind) {
+	r := l.refused[k]
+	if r.wait == 0 {
+		r.wait = l.c.t.RefusalS
+	} else {
+		r.wait = min(2*r.wait, l.c.t.RefusalMaxS)
+	}
+	r.until = time.Now().Add(tuning.Seconds(r.wait))
+	l.refused[k] = r
+}
+
+// giveBack returns machines that their owners have let go, that are lost, or
+// that never came up.
+func (l *leader) giveBack(ctx context.Context) {
+	ids, recs := l.machines()
+	now := time.Now()
+	up, bad := map[string]bool{}, map[string]bool{}
+	for _, s := range l.sums {
+		for _, id := range s.Up {
+			up[id] = true
+		}
+		for _, id := range s.Bad {
+			bad[id] = true
+		}
+	}
+	boot := map[string]float64{}
+	for _, t := range l.c.catalog() {
+		boot[t.Name] = t.BootS
+	}
+	var back []string
+	why := ""
+	for _, id := range ids {
+		e := recs[id]
+		m, listed := l.listed[id]
+		late := now.Sub(time.UnixMilli(e.rec.Born)) > tuning.Seconds(l.c.t.BootPatience*boot[e.rec.Type]+l.c.s.Cluster.Cloud.ListLagS)
+		reason := ""
+		switch {
+		case e.rec.Wish == core.WishReturn && e.rec.Free:
+			reason = "let go"
+		case listed && m.State == wire.Failed:
+			reason = "failed"
+		case l.absent[id] >= 3:
+			reason = "no longer listed"
+		case bad[id]:
+			reason = "faulty or silent"
+		case late && !up[id] && !(listed && m.State == wire.Up):
+			reason = "did not come up"
+		}
+		if reason != "" && len(back) < 8 {
+			back = append(back, id)
+			why = reason
+		}
+	}
+	if len(back) > 0 {
+		l.giveUp(ctx, back, why)
+	}
+}
+
+// giveUp returns machines; once that is answered, they and all on them are
+// gone, and only then do their records go.
+func (l *leader) giveUp(ctx context.Context, ids []string, why string) {
+	if err := l.c.cloud.Return(ctx, ids); err != nil {
+		slog.Debug("machines not returned", "ids", ids, "err", err)
+		return
+	}
+	slog.Info("returned", "machines", ids, "why", why)
+	var conds []wire.Cond
+	var then []wire.Write
+	for _, id := range ids {
+		l.gone[id] = time.Now()
+		if e, ok := l.c.cluster.machine(id); ok {
+			conds = append(conds, wire.Cond{Key: machinePrefix + id, Stamp: e.stamp})
+			then = append(then, wire.Write{Delete: machinePrefix + id})
+		}
+	}
+	if len(then) == 0 {
+		return
+	}
+	rev, err := l.commit(ctx, conds, then)
+	if err != nil {
+		slog.Debug("records of returned machines still stand", "err", err)
+		return
+	}
+	for _, w := range then {
+		l.c.cluster.apply(w.Delete, nil, rev, true)
+	}
+}
+
+// size is a sizing round.
+func (l *leader) size(ctx context.Context) {
+	types := l.c.catalog()
+	if len(types) == 0 {
+		return
+	}
+	now := time.Now()
+	up, empty := map[string]bool{}, map[string]bool{}
+	for _, s := range l.sums {
+		for _, id := range s.Up {
+			up[id] = true
+		}
+		for _, id := range s.Empty {
+			empty[id] = true
+		}
+	}
+	ids, recs := l.machines()
+	in := core.FleetInput{Types: types, Summaries: l.sums, Refused: map[core.Kind]bool{}}
+	for _, id := range ids {
+		r := recs[id].rec
+		in.Machines = append(in.Machines, core.FleetMachine{ID: id, Kind: core.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot},
+			Part: r.Part, Wish: r.Wish, Empty: empty[id], Up: up[id]})
+	}
+	l.c.cluster.mu.Lock()
+	for _, h := range l.c.cluster.hires {
+		for range h.rec.Count {
+			in.Coming = append(in.Coming, core.FleetMachine{Kind: core.Kind{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}, Part: h.rec.Part})
+		}
+	}
+	l.c.cluster.mu.Unlock()
+	for k, r := range l.refused {
+		if now.Before(r.until) {
+			in.Refused[k] = true
+		}
+	}
+	plan := l.fleet.Plan(in, now)
+	slog.Debug("sizing", "target", plan.Target, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
+	for _, r := range plan.Rentals {
+		for n := r.Count; n > 0; n -= tuning.MaxRent {
+			l.record(ctx, r, min(n, tuning.MaxRent))
+		}
+	}
+	for _, m := range plan.Moves {
+		e := recs[m.ID]
+		e.rec.Wish, e.rec.To = core.WishMove, m.To
+		l.wish(ctx, m.ID, e)
+	}
+	for _, id := range plan.Returns {
+		e := recs[id]
+		e.rec.Wish = core.WishReturn
+		l.wish(ctx, id, e)
+	}
+}
+
+// record writes a rental down; finishHires calls the cloud for it.
+func (l *leader) record(ctx context.Context, r core.Rental, n int) {
+	// The term's stamp makes the name unique, whoever leads and whatever is
+	// carried out late.
+	name := fmt.Sprintf("r-%d-%d", l.stamp, l.next)
+	l.next++
+	rec := core.HireRecord{Type: r.Kind.Type, Zone: r.Kind.Zone, Spot: r.Kind.Spot, Count: n, Part: r.Part, At: time.Now().UnixMilli()}
+	key := hirePrefix + name
+	rev, err := l.commit(ctx, []wire.Cond{{Key: key, Stamp: 0}}, []wire.Write{{Put: key, Value: rec}})
+	if err != nil {
+		slog.Debug("rental not recorded", "err", err)
+		return
+	}
+	l.c.cluster.apply(key, must(wire.Marshal(rec)), rev, false)
+}
+
+func (l *leader) wish(ctx context.Context, id string, e machineEntry) {
+	key := machinePrefix + id
+	rev, err := l.commit(ctx, []wire.Cond{{Key: key, Stamp: e.stamp}}, []wire.Write{{Put: key, Value: e.rec}})
+	if err != nil {
+		slog.Debug("wish not written", "machine", id, "err", err)
+		return
+	}
+	l.c.cluster.apply(key, must(wire.Marshal(e.rec)), rev, false)
+}
--- /dev/null
+++ b/internal/controller/owned.go
@@ -0,0 +1,390 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"ambersill/internal/core"
+	"ambersill/internal/store"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// owned is a part while this node owns it.
+type owned struct {
+	c      *Controller
+	index  int
+	stamp  uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	kick   chan struct{}
+
+	mu   sync.Mutex
+	p    *core.Part // nil until its records are read
+	last []byte     // summary as last written
+	told time.Time
+}
+
+func (c *Controller) newOwned(ctx context.Context, index int, stamp uint64) *owned {
+	ctx, cancel := context.WithCancel(ctx)
+	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1)}
+}
+
+func (o *owned) poke() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run reads the part's records, and then schedules until the part is lost.
+func (o *owned) run() {
+	var rev uint64
+	for o.ctx.Err() == nil {
+		r, err := o.load()
+		if err == nil {
+			rev = r
+			break
+		}
+		slog.Info("part not read yet", "part", o.index, "err", err)
+		pause(o.ctx, 300*time.Millisecond)
+	}
+	if o.ctx.Err() != nil {
+		return
+	}
+	go o.followJobs(rev)
+	go o.seize()
+	gap := tuning.Seconds(o.c.t.PassGapS)
+	tick := time.NewTicker(tuning.Seconds(o.c.t.TickS))
+	defer tick.Stop()
+	for o.ctx.Err() == nil {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.kick:
+		case <-tick.C:
+		}
+		o.pass()
+		pause(o.ctx, gap)
+	}
+}
+
+// load reads the part. It runs after the claim, whose stamp fences the last
+// owner: nothing of it can be committed any more, so what is read here is whole.
+func (o *owned) load() (uint64, error) {
+	c := o.c
+	machines, _, err := c.store.List(o.ctx, machinePrefix)
+	if err != nil {
+		return 0, err
+	}
+	// The watch starts before the jobs are read, so that none falls between.
+	_, rev, err := c.store.List(o.ctx, core.PartKey(o.index))
+	if err != nil {
+		return 0, err
+	}
+	chunks, _, err := c.store.List(o.ctx, core.ChunkPrefix(o.index))
+	if err != nil {
+		return 0, err
+	}
+	marks, _, err := c.store.List(o.ctx, core.CancelPrefix(o.index))
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	p := core.NewPart(o.index, o.stamp, c.s, &c.t)
+	p.SetTypes(c.catalog())
+	for _, it := range machines {
+		var r core.MachineRecord
+		if err := wire.Unmarshal(it.Value, &r); err != nil {
+			return 0, err
+		}
+		p.SetMachine(it.Key[len(machinePrefix):], r, it.Stamp, now)
+	}
+	type loaded struct {
+		id    string
+		index int
+		stamp uint64
+		rec   core.ChunkRecord
+	}
+	var all []loaded
+	for _, it := range chunks {
+		id, index, ok := core.SplitChunkKey(it.Key)
+		var r core.ChunkRecord
+		if err := wire.Unmarshal(it.Value, &r); err != nil || !ok {
+			slog.Error("record not understood", "key", it.Key, "err", err)
+			continue
+		}
+		if index == 0 && r.Job != nil {
+			p.AddJob(r.Job, time.UnixMilli(r.At), it.Stamp)
+		}
+		all = append(all, loaded{id, index, it.Stamp, r})
+	}
+	for _, l := range all {
+		p.LoadChunk(l.id, l.index, l.stamp, l.rec)
+	}
+	for _, it := range marks {
+		p.Cancel(it.Key[len(core.CancelPrefix(o.index)):], now)
+	}
+	o.mu.Lock()
+	o.p = p
+	o.mu.Unlock()
+	slog.Info("part read", "part", o.index, "jobs", p.Jobs(), "machines", len(p.MachineIDs()))
+	o.poke()
+	return rev, nil
+}
+
+// seize raises the token of every machine at once, rather than at its next report.
+func (o *owned) seize() {
+	o.mu.Lock()
+	type target struct{ id, addr string }
+	var ts []target
+	for _, id := range o.p.MachineIDs() {
+		if e, ok := o.c.cluster.machine(id); ok && e.rec.Addr != "" {
+			ts = append(ts, target{id, e.rec.Addr})
+		}
+	}
+	o.mu.Unlock()
+	sem := make(chan struct{}, 8)
+	for _, t := range ts {
+		select {
+		case sem <- struct{}{}:
+		case <-o.ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-sem }()
+			o.order(t.id, t.addr)
+		}()
+	}
+}
+
+// order sends a machine what it should hear, and takes the answer in as a report.
+func (o *owned) order(id, addr string) {
+	o.mu.Lock()
+	ord, ok := o.p.Orders(id)
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	r, _, err := o.c.workers.Order(o.ctx, addr, ord)
+	if err != nil {
+		slog.Debug("order unanswered", "machine", id, "err", err)
+		return
+	}
+	o.mu.Lock()
+	o.p.Heard(r, time.Now())
+	o.mu.Unlock()
+	o.poke()
+}
+
+// followJobs learns of submissions and cancellations.
+func (o *owned) followJobs(rev uint64) {
+	o.watchJobs(rev)
+	for o.ctx.Err() == nil {
+		// Too far behind: what was missed stands in the part's records.
+		rev, err := o.reread()
+		if err != nil {
+			pause(o.ctx, 500*time.Millisecond)
+			continue
+		}
+		o.watchJobs(rev)
+	}
+}
+
+func (o *owned) watchJobs(rev uint64) {
+	followFrom(o.ctx, o.c.store, "j/", rev, func(e wire.Event) {
+		if e.Put == "" {
+			return
+		}
+		var r core.JobRecord
+		if err := wire.Unmarshal(e.Value, &r); err != nil || r.Job == nil || r.Part != o.index {
+			return
+		}
+		o.mu.Lock()
+		switch r.Phase {
+		case wire.Queued:
+			o.p.AddJob(r.Job, time.UnixMilli(r.At), e.Stamp)
+		case wire.Cancelled:
+			o.p.Cancel(r.Job.ID, time.Now())
+		}
+		o.mu.Unlock()
+		o.poke()
+	})
+}
+
+// reread takes in jobs and cancellations that the watch has missed.
+func (o *owned) reread() (uint64, error) {
+	_, rev, err := o.c.store.List(o.ctx, core.PartKey(o.index))
+	if err != nil {
+		return 0, err
+	}
+	chunks, _, err := o.c.store.List(o.ctx, core.ChunkPrefix(o.index))
+	if err != nil {
+		return 0, err
+	}
+	marks, _, err := o.c.store.List(o.ctx, core.CancelPrefix(o.index))
+	if err != nil {
+		return 0, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, it := range chunks {
+		var r core.ChunkRecord
+		if _, index, ok := core.SplitChunkKey(it.Key); ok && index == 0 && wire.Unmarshal(it.Value, &r) == nil && r.Job != nil && r.JobStamp == 0 {
+			o.p.AddJob(r.Job, time.UnixMilli(r.At), it.Stamp)
+		}
+	}
+	for _, it := range marks {
+		o.p.Cancel(it.Key[len(core.CancelPrefix(o.index)):], time.Now())
+	}
+	return rev, nil
+}
+
+// pass schedules once and commits what came of it.
+func (o *owned) pass() {
+	if o.c.store.SinceContact() < tuning.Seconds(o.c.t.FreshS) {
+		o.mu.Lock()
+		o.p.Schedule(time.Now())
+		o.mu.Unlock()
+	}
+	for o.ctx.Err() == nil {
+		o.mu.Lock()
+		b := o.p.Batch()
+		o.mu.Unlock()
+		if b.Empty() {
+			break
+		}
+		if !o.commit(b) {
+			return
+		}
+	}
+	o.release()
+	o.summarise()
+	o.direct()
+}
+
+// direct sends starts and stops without waiting for the next report.
+func (o *owned) direct() {
+	o.mu.Lock()
+	ids := o.p.Urgent(time.Now())
+	o.mu.Unlock()
+	for _, id := range ids {
+		if e, ok := o.c.cluster.machine(id); ok && e.rec.Addr != "" {
+			go o.order(id, e.rec.Addr)
+		}
+	}
+}
+
+// commit sends a batch; false: wait before the next one.
+func (o *owned) commit(b *core.Batch) bool {
+	rev, err := o.c.store.Commit(o.ctx, b.Txn)
+	if err == nil {
+		o.mu.Lock()
+		o.p.Committed(b, rev)
+		o.mu.Unlock()
+		return true
+	}
+	if errors.Is(err, store.ErrRefused) {
+		pause(o.ctx, 100*time.Millisecond)
+		return false
+	}
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		slog.Debug("commit conflict", "part", o.index, "keys", conflict.Keys)
+	} else {
+		slog.Debug("commit unanswered", "part", o.index, "err", err)
+	}
+	// Whatever happened to it, the keys tell; the next commit rewrites them
+	// under the stamps read here, after which this one can no longer apply.
+	for _, cond := range b.Txn.If {
+		if !o.refresh(b, cond.Key) {
+			return false
+		}
+	}
+	return false
+}
+
+func (o *owned) refresh(b *core.Batch, key string) bool {
+	for o.ctx.Err() == nil {
+		it, err := o.c.store.Get(o.ctx, key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			pause(o.ctx, 300*time.Millisecond)
+			continue
+		}
+		if key == core.PartKey(o.index) {
+			if it.Stamp != o.stamp {
+				o.c.lose(o, "its key has another stamp")
+				return false
+			}
+			return true
+		}
+		var rec *core.JobRecord
+		if len(it.Value) > 0 && key[:2] == "j/" {
+			rec = &core.JobRecord{}
+			if uerr := wire.Unmarshal(it.Value, rec); uerr != nil {
+				rec = nil
+			}
+		}
+		o.mu.Lock()
+		o.p.Refresh(b, key, it.Stamp, rec, time.Now())
+		o.mu.Unlock()
+		return true
+	}
+	return false
+}
+
+// release lets go of machines that the leader wants back and that are empty.
+func (o *owned) release() {
+	o.mu.Lock()
+	ids := append([]string(nil), o.p.MachineIDs()...)
+	o.mu.Unlock()
+	for _, id := range ids {
+		o.mu.Lock()
+		r, stamp, ok := o.p.Releasable(id)
+		o.mu.Unlock()
+		if !ok {
+			continue
+		}
+		key := machinePrefix + id
+		rev, err := o.c.store.Commit(o.ctx, wire.Txn{
+			If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}, {Key: key, Stamp: stamp}},
+			Then: []wire.Write{{Put: key, Value: r}},
+		})
+		if err != nil {
+			slog.Debug("machine not released", "machine", id, "err", err)
+			continue
+		}
+		v, err := wire.Marshal(r)
+		if err == nil {
+			o.c.cluster.apply(key, v, rev, false)
+		}
+	}
+}
+
+// summarise writes the part's summary when it has changed.
+func (o *owned) summarise() {
+	if time.Since(o.told) < tuning.Seconds(o.c.t.SummaryS) {
+		return
+	}
+	o.mu.Lock()
+	s := o.p.Summary(time.Now())
+	o.mu.Unlock()
+	b, err := wire.Marshal(s)
+	if err != nil || bytes.Equal(b, o.last) {
+		return
+	}
+	o.told = time.Now()
+	// The condition on the part's key alone fences it: only owners write here.
+	if _, err := o.c.store.Commit(o.ctx, wire.Txn{
+		If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}},
+		Then: []wire.Write{{Put: summaryKey(o.index), Value: s}},
+	}); err != nil {
+		slog.Debug("summary not written", "part", o.index, "err", err)
+		return
+	}
+	o.last = b
+}
--- /dev/null
+++ b/internal/controller/serve.go
@@ -0,0 +1,303 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"ambersill/internal/api"
+	"ambersill/internal/core"
+	"ambersill/internal/mesh"
+	"ambersill/internal/store"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+
+	"golang.org/x/net/netutil"
+)
+
+// serve answers users and workers until the context ends.
+func (c *Controller) serve(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.s.PublicAddr)
+	if err != nil {
+		return err
+	}
+	l = netutil.LimitListener(l, max(c.s.Cluster.Limits.MaxSockets-tuning.SpareSockets, 16))
+	srv := &http.Server{
+		Handler:           api.Handler(c, c.t.RetryAfterS, tuning.Seconds(c.t.UserWaitS)),
+		ReadHeaderTimeout: tuning.ReadTimeout,
+		ReadTimeout:       tuning.ReadTimeout,
+		IdleTimeout:       tuning.IdleTimeout,
+		MaxHeaderBytes:    8 << 10,
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	stop := context.AfterFunc(ctx, func() {
+		sctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = srv.Shutdown(sctx)
+	})
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Healthy tells whether this node can take requests. In an outage that all
+// nodes share it stays healthy, since no other node would do better.
+func (c *Controller) Healthy() bool {
+	if len(c.catalog()) == 0 {
+		return false
+	}
+	if c.store.SinceContact() < 6*time.Second {
+		return true
+	}
+	limit := 400 * time.Millisecond
+	better := make(chan bool, len(c.peers))
+	for _, p := range c.peers {
+		go func() {
+			var a mesh.Answer
+			err := p.Call("Mesh.View", mesh.Query{}, &a, limit)
+			better <- err == nil && a.Contact < 3
+		}()
+	}
+	for range c.peers {
+		if <-better {
+			return false
+		}
+	}
+	return true
+}
+
+// final returns a job whose end this node knows to be committed.
+func (c *Controller) final(id string) (core.JobRecord, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.finals[id]
+	return r, ok
+}
+
+func (c *Controller) remember(r core.JobRecord) {
+	if !r.Phase.Final() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.finals) >= c.t.FinalCache {
+		for k := range c.finals {
+			delete(c.finals, k)
+			break
+		}
+	}
+	r.Job = &wire.Job{ID: r.Job.ID, Tasks: r.Job.Tasks}
+	c.finals[r.Job.ID] = r
+}
+
+// readJob reads a job's record as it stands now.
+func (c *Controller) readJob(ctx context.Context, id string) (core.JobRecord, uint64, error) {
+	if r, ok := c.final(id); ok {
+		return r, 0, nil
+	}
+	var r core.JobRecord
+	it, err := c.store.Get(ctx, core.JobKey(id))
+	if err != nil {
+		return r, 0, err
+	}
+	if err := wire.Unmarshal(it.Value, &r); err != nil {
+		return r, 0, err
+	}
+	c.remember(r)
+	return r, it.Stamp, nil
+}
+
+// partOf says which part a job belongs to: its team's where teams have limits
+// or guarantees, so that one owner enforces them alone, else by the job.
+func (c *Controller) partOf(j *wire.Job) int {
+	key := j.ID
+	for _, t := range c.s.Cluster.Teams {
+		if t.CPUs > 0 || t.CPUsMax > 0 || t.GPUs > 0 || t.GPUsMax > 0 {
+			key = ""
+			break
+		}
+	}
+	if key != "" {
+		n := 0
+		for _, b := range []byte(key) {
+			n = (n*31 + int(b)) & 0xffffff
+		}
+		return n % c.parts
+	}
+	for i, t := range c.s.Cluster.Teams {
+		if t.Name == j.Team {
+			return i % c.parts
+		}
+	}
+	return 0
+}
+
+// Submit takes a job in.
+func (c *Controller) Submit(ctx context.Context, body []byte) (wire.JobView, bool, error) {
+	j, err := wire.ParseJob(body)
+	if err != nil {
+		return wire.JobView{}, false, &api.Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	if r, ok := c.final(j.ID); ok {
+		return view(r), false, nil
+	}
+	types := c.catalog()
+	if len(types) == 0 {
+		return wire.JobView{}, false, errors.New("machine types not known yet")
+	}
+	if why := core.Impossible(j, c.s, types); why != "" {
+		// A job that was accepted before is known, whatever its repeat says.
+		r, _, err := c.readJob(ctx, j.ID)
+		switch {
+		case err == nil:
+			return view(r), false, nil
+		case errors.Is(err, store.ErrNotFound):
+			return wire.JobView{}, false, &api.Refusal{Status: http.StatusUnprocessableEntity, Reason: why}
+		}
+		return wire.JobView{}, false, err
+	}
+	rec := core.JobRecord{Job: j, Phase: wire.Queued, Part: c.partOf(j), At: time.Now().UnixMilli()}
+	key := core.JobKey(j.ID)
+	_, err = c.store.Commit(ctx, wire.Txn{
+		If: []wire.Cond{{Key: key, Stamp: 0}},
+		Then: []wire.Write{
+			{Put: key, Value: rec},
+			{Put: core.ChunkKey(rec.Part, j.ID, 0), Value: core.FirstChunk(&rec)},
+		},
+	})
+	if err == nil {
+		return view(rec), true, nil
+	}
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) || errors.Is(err, store.ErrUnknown) {
+		// Known already, or perhaps: the record tells.
+		r, _, gerr := c.readJob(ctx, j.ID)
+		if gerr == nil {
+			return view(r), false, nil
+		}
+		err = gerr
+	}
+	return wire.JobView{}, false, err
+}
+
+func view(r core.JobRecord) wire.JobView {
+	v := wire.JobView{ID: r.Job.ID, Phase: r.Phase}
+	if r.Phase == wire.Done {
+		v.Done = r.Job.Tasks
+	}
+	return v
+}
+
+// Job answers a query.
+func (c *Controller) Job(ctx context.Context, id string) (wire.JobView, error) {
+	if !wire.ValidJobID(id) {
+		return wire.JobView{}, &api.Refusal{Status: http.StatusNotFound, Reason: "no such job"}
+	}
+	r, _, err := c.readJob(ctx, id)
+	if errors.Is(err, store.ErrNotFound) {
+		return wire.JobView{}, &api.Refusal{Status: http.StatusNotFound, Reason: "no such job"}
+	}
+	if err != nil {
+		return wire.JobView{}, err
+	}
+	v := view(r)
+	if !r.Phase.Final() {
+		v.Done, v.Running = c.counts(id, r.Part)
+		if v.Running > 0 {
+			v.Phase = wire.Running
+		}
+	}
+	return v, nil
+}
+
+// counts asks the part's owner for display counts; they are a hint.
+func (c *Controller) counts(id string, part int) (int, int) {
+	if d, r, ok := c.View(id); ok {
+		return d, r
+	}
+	p := c.peers[c.cluster.snapshotOwner(part).node]
+	if p == nil {
+		return 0, 0
+	}
+	var a mesh.Answer
+	if err := p.Call("Mesh.View", mesh.Query{Job: id}, &a, 200*time.Millisecond); err != nil {
+		return 0, 0
+	}
+	return a.Done, a.Running
+}
+
+// Cancel withdraws a job.
+func (c *Controller) Cancel(ctx context.Context, id string) (wire.JobView, error) {
+	if !wire.ValidJobID(id) {
+		return wire.JobView{}, &api.Refusal{Status: http.StatusNotFound, Reason: "no such job"}
+	}
+	for {
+		r, stamp, err := c.readJob(ctx, id)
+		if errors.Is(err, store.ErrNotFound) {
+			return wire.JobView{}, &api.Refusal{Status: http.StatusNotFound, Reason: "no such job"}
+		}
+		if err != nil {
+			return wire.JobView{}, err
+		}
+		if r.Phase.Final() {
+			return view(r), nil
+		}
+		r.Phase = wire.Cancelled
+		_, err = c.store.Commit(ctx, wire.Txn{
+			If: []wire.Cond{{Key: core.JobKey(id), Stamp: stamp}},
+			Then: []wire.Write{
+				{Put: core.JobKey(id), Value: r},
+				{Put: core.CancelKey(r.Part, id), Value: true},
+			},
+		})
+		var conflict *store.Conflict
+		switch {
+		case err == nil:
+			c.remember(r)
+			return view(r), nil
+		case errors.As(err, &conflict), errors.Is(err, store.ErrUnknown):
+			continue // read again: it ended, or the answer was lost
+		default:
+			return wire.JobView{}, err
+		}
+	}
+}
+
+// Report answers a worker.
+func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
+	e, known := c.cluster.machine(r.Machine)
+	if !known {
+		return wire.ReportReply{}, "", false
+	}
+	o := c.ownedPart(e.rec.Part)
+	if o == nil {
+		n := c.cluster.snapshotOwner(e.rec.Part).node
+		if n == c.s.Node {
+			n = ""
+		}
+		return wire.ReportReply{}, n, false
+	}
+	w := c.s.Cluster.Workers
+	away := c.store.SinceContact()
+	if away > tuning.Seconds(w.CancelS-w.LeaseS-c.t.MarginS-w.ReportS) {
+		// Cancellations may have been told elsewhere; the leases must run out.
+		return wire.ReportReply{}, "", false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.p == nil {
+		return wire.ReportReply{}, "", false
+	}
+	v, reply := o.p.Report(r, time.Now(), away < tuning.Seconds(c.t.FreshS))
+	if v != core.Accepted {
+		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
+		return reply, "", false
+	}
+	o.poke()
+	return reply, "", true
+}
--- /dev/null
+++ b/internal/core/check.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"ambersill/internal/config"
+	"ambersill/internal/wire"
+)
+
+// Impossible says why a job can never run; "" if it can.
+func Impossible(j *wire.Job, s *config.Settings, types []wire.MachineType) string {
+	c, ok := s.Team(j.Team)
+	if !ok {
+		return "unknown team"
+	}
+	r := need(j)
+	fits := 0
+	zones := map[string]bool{}
+	for _, t := range types {
+		if !typeAllowed(j.Types, t.Name) || !size(t).holds(r) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if j.Zone == "" || j.Zone == z {
+				fits++
+				zones[z] = true
+			}
+		}
+	}
+	if fits == 0 {
+		return "a task fits no allowed machine type"
+	}
+	all := r
+	if j.Shape == wire.Gang {
+		all = r.times(j.Tasks)
+	}
+	if t := (&team{Team: c}); !t.within(all) {
+		return "more than the team's limit"
+	}
+	// All tasks of a gang run at the same time, so they can't be spread over one zone.
+	if j.Spread && j.Shape == wire.Gang && j.Tasks > 1 && (j.OneZone || len(zones) < 2) {
+		return "the gang can't be spread"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/commit.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// maxOver bounds the memory of ended jobs; a late word of a submission is seconds old.
+const maxOver = 4096
+
+// Keys of the state service.
+
+// JobKey is the key of a job's record.
+func JobKey(id string) string { return "j/" + id }
+
+// ChunkPrefix is the prefix of all chunks of a part.
+func ChunkPrefix(part int) string { return "a/" + strconv.Itoa(part) + "/" }
+
+// ChunkKey is the key of a chunk of a job.
+func ChunkKey(part int, id string, index int) string {
+	return ChunkPrefix(part) + id + "/" + strconv.Itoa(index)
+}
+
+// SplitChunkKey takes a chunk's key apart.
+func SplitChunkKey(key string) (id string, index int, ok bool) {
+	f := strings.Split(key, "/")
+	if len(f) != 4 {
+		return "", 0, false
+	}
+	i, err := strconv.Atoi(f[3])
+	return f[2], i, err == nil
+}
+
+// CancelPrefix is the prefix of the marks of cancelled jobs of a part.
+func CancelPrefix(part int) string { return "x/" + strconv.Itoa(part) + "/" }
+
+// CancelKey marks a job as cancelled for its part's owner.
+func CancelKey(part int, id string) string { return CancelPrefix(part) + id }
+
+// PartKey is the key that names a part's owner.
+func PartKey(part int) string { return "c/p/" + strconv.Itoa(part) }
+
+// FirstChunk is the record of a job's first chunk as it is submitted.
+func FirstChunk(r *JobRecord) ChunkRecord { return ChunkRecord{Job: r.Job, At: r.At} }
+
+// Batch is a set of changes of a part on its way to the state service.
+type Batch struct {
+	Txn    wire.Txn
+	chunks []chunkWrite
+	// ended is the job whose end the batch commits, removed the one whose
+	// last records it deletes.
+	ended *Job
+	// cleaned are chunks deleted after their job's end.
+	cleaned []*chunk
+}
+
+type chunkWrite struct {
+	c       *chunk
+	version int
+}
+
+// Empty tells whether there is nothing to commit.
+func (b *Batch) Empty() bool { return len(b.Txn.Then) == 0 }
+
+// record builds a chunk's record.
+func (c *chunk) record() ChunkRecord {
+	j := c.job
+	r := ChunkRecord{Try: j.try}
+	if c.index == 0 {
+		r.Job, r.At, r.JobStamp = j.Job, j.At.UnixMilli(), j.Stamp
+	}
+	r.Done = ranges(c.from, c.to, func(i int) bool { return j.tasks[i] == done })
+	for t, pl := range j.placed {
+		if t >= c.from && t < c.to && j.tasks[t] != done {
+			r.Live = append(r.Live, LiveRecord{Task: t, Try: pl.try, Machine: pl.machine.ID, Session: pl.session})
+		}
+	}
+	sort.Slice(r.Live, func(a, b int) bool { return r.Live[a].Task < r.Live[b].Task })
+	return r
+}
+
+// bytes estimates a record's size in the protocol's measure.
+func (r *ChunkRecord) bytes() int {
+	n := 64 + 16*len(r.Done) + (tuning.TaskBytes-8)*len(r.Live)
+	if r.Job != nil {
+		n += 500 + len(r.Job.Class) + len(r.Job.Team) + len(r.Job.Image)
+		for _, t := range r.Job.Types {
+			n += len(t) + 3
+		}
+	}
+	return n
+}
+
+// Batch gathers changes for one transaction: ends of jobs first, then chunks.
+func (p *Part) Batch() *Batch {
+	ops := p.s.Cluster.State.TxnOps
+	b := &Batch{}
+	b.Txn.If = append(b.Txn.If, wire.Cond{Key: PartKey(p.Index), Stamp: p.Stamp})
+	size := 0
+	ids := sortedKeys(p.jobs)
+	for _, id := range ids {
+		j := p.jobs[id]
+		if j.final || j.Cancelled || j.done < j.Tasks {
+			continue
+		}
+		// One end per batch keeps conflicts with cancellations apart.
+		rec := JobRecord{Job: j.Job, Phase: wire.Done, Part: p.Index, At: j.At.UnixMilli()}
+		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Stamp: j.Stamp}, wire.Cond{Key: ChunkKey(p.Index, id, 0), Stamp: j.chunks[0].stamp})
+		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: JobKey(id), Value: rec}, wire.Write{Delete: ChunkKey(p.Index, id, 0)})
+		b.ended = j
+		size += 1000
+		break
+	}
+	for _, j := range p.ending {
+		for _, c := range j.chunks {
+			if c.index == 0 || c.stamp == 0 || len(b.Txn.Then) >= ops {
+				continue
+			}
+			b.Txn.If = append(b.Txn.If, wire.Cond{Key: ChunkKey(p.Index, j.ID, c.index), Stamp: c.stamp})
+			b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: ChunkKey(p.Index, j.ID, c.index)})
+			b.cleaned = append(b.cleaned, c)
+		}
+	}
+	for _, id := range ids {
+		j := p.jobs[id]
+		if j.final || j == b.ended {
+			continue
+		}
+		if j.Cancelled && len(j.placed) == 0 && len(b.Txn.Then)+3 <= ops {
+			// All of it is gone: drop its records, the mark last of all.
+			left := 0
+			for _, c := range j.chunks {
+				if c.stamp == 0 {
+					continue
+				}
+				if len(b.Txn.Then)+2 > ops {
+					left++
+					continue
+				}
+				b.Txn.If = append(b.Txn.If, wire.Cond{Key: ChunkKey(p.Index, id, c.index), Stamp: c.stamp})
+				b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: ChunkKey(p.Index, id, c.index)})
+				b.cleaned = append(b.cleaned, c)
+			}
+			if left == 0 {
+				b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: CancelKey(p.Index, id)})
+				if b.ended == nil {
+					b.ended = j
+				}
+			}
+			continue
+		}
+		for _, c := range j.chunks {
+			if !c.dirty() || len(b.Txn.Then) >= ops {
+				continue
+			}
+			rec := c.record()
+			if n := rec.bytes(); size > 0 && size+n > tuning.TxnBytes {
+				continue
+			} else {
+				size += n
+			}
+			key := ChunkKey(p.Index, id, c.index)
+			b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: c.stamp})
+			b.Txn.Then = append(b.Txn.Then, wire.Write{Put: key, Value: rec})
+			b.chunks = append(b.chunks, chunkWrite{c, c.version})
+		}
+	}
+	return b
+}
+
+// Committed notes that a batch is in the state service.
+func (p *Part) Committed(b *Batch, rev uint64) {
+	for _, w := range b.chunks {
+		w.c.stamp = rev
+		w.c.committed = max(w.c.committed, w.version)
+	}
+	for _, c := range b.cleaned {
+		c.stamp = 0
+	}
+	if b.ended != nil {
+		p.end(b.ended)
+	}
+	still := p.ending[:0]
+	for _, j := range p.ending {
+		for _, c := range j.chunks {
+			if c.index > 0 && c.stamp > 0 {
+				still = append(still, j)
+				break
+			}
+		}
+	}
+	p.ending = still
+}
+
+// end forgets a job whose end is committed. Placements of a finished gang that
+// its workers have not reported yet keep their room until they do.
+func (p *Part) end(j *Job) {
+	j.final = true
+	delete(p.jobs, j.ID)
+	if len(p.over) >= maxOver {
+		clear(p.over)
+	}
+	p.over[j.ID] = true
+	j.chunks[0].stamp = 0
+	p.ending = append(p.ending, j)
+}
+
+// Refresh takes in what a re-read found of a key after an unknown outcome or a
+// conflict. All stays marked as changed, so that the next commit rewrites the
+// key under its present stamp, which fences whatever is still under way.
+func (p *Part) Refresh(b *Batch, key string, stamp uint64, rec *JobRecord, now time.Time) {
+	if b.ended != nil && key == JobKey(b.ended.ID) {
+		j := b.ended
+		j.Stamp = stamp
+		if rec == nil {
+			return
+		}
+		switch rec.Phase {
+		case wire.Done:
+			p.end(j)
+		case wire.Cancelled:
+			p.Cancel(j.ID, now)
+		}
+		return
+	}
+	for _, w := range b.chunks {
+		if key == ChunkKey(p.Index, w.c.job.ID, w.c.index) {
+			w.c.stamp = stamp
+		}
+	}
+	for _, c := range b.cleaned {
+		if key == ChunkKey(p.Index, c.job.ID, c.index) {
+			c.stamp = stamp
+		}
+	}
+	if b.ended != nil && key == ChunkKey(p.Index, b.ended.ID, 0) {
+		b.ended.chunks[0].stamp = stamp
+	}
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,415 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// slice is how many tasks of an array a team places before it is another
+// team's turn.
+const slice = 8
+
+// Schedule places waiting tasks: a queue per team, the teams served in turn by
+// shares, guaranteed work first, then by rank.
+func (p *Part) Schedule(now time.Time) {
+	p.Sweep(now)
+	queues := p.queues(now)
+	for len(queues) > 0 {
+		best := 0
+		for i := 1; i < len(queues); i++ {
+			if queues[i].before(queues[best]) {
+				best = i
+			}
+		}
+		q := queues[best]
+		j := q.jobs[0]
+		if !p.place(j, q.team, now) {
+			q.jobs = q.jobs[1:]
+			if len(q.jobs) == 0 {
+				queues = append(queues[:best], queues[best+1:]...)
+			}
+		}
+	}
+}
+
+type queue struct {
+	team *team
+	jobs []*Job
+}
+
+// load is how much a team uses, by its guarantee where it has one.
+func (q *queue) load() float64 {
+	t := q.team
+	l := 0.0
+	if t.GPUs > 0 {
+		l = max(l, t.used.GPUs/t.GPUs)
+	} else {
+		l = max(l, t.used.GPUs/8)
+	}
+	if t.CPUs > 0 {
+		l = max(l, t.used.CPUs/t.CPUs)
+	} else if t.GPUs == 0 {
+		l = max(l, t.used.CPUs/64)
+	}
+	return l
+}
+
+func (q *queue) before(o *queue) bool {
+	a, b := q.jobs[0], o.jobs[0]
+	if a.covered != b.covered {
+		return a.covered
+	}
+	if x, y := a.Rank.Level(), b.Rank.Level(); x != y {
+		return x > y
+	}
+	if x, y := q.load(), o.load(); x != y {
+		return x < y
+	}
+	return earlier(a, b)
+}
+
+// due is when a job should be over; without a deadline, a moderate time after
+// its submission, so that old work does not starve behind deadlines.
+func due(j *Job) time.Time {
+	if j.Deadline > 0 {
+		return j.At.Add(tuning.Seconds(j.Deadline - j.Estimate))
+	}
+	return j.At
+}
+
+func earlier(a, b *Job) bool {
+	if x, y := due(a), due(b); !x.Equal(y) {
+		return x.Before(y)
+	}
+	return a.ID < b.ID
+}
+
+// queues sorts the jobs with waiting tasks by team.
+func (p *Part) queues(now time.Time) []*queue {
+	all := map[string][]*Job{}
+	for _, j := range p.jobs {
+		if !j.Cancelled && j.done < j.Tasks {
+			all[j.Team] = append(all[j.Team], j)
+		}
+	}
+	var out []*queue
+	for _, name := range sortedKeys(all) {
+		jobs := all[name]
+		t := p.team(name)
+		sort.Slice(jobs, func(a, b int) bool {
+			if !jobs[a].At.Equal(jobs[b].At) {
+				return jobs[a].At.Before(jobs[b].At)
+			}
+			return jobs[a].ID < jobs[b].ID
+		})
+		var sum Room
+		for _, j := range jobs {
+			sum = sum.add(need(j.Job).times(j.Tasks - j.done))
+			j.covered = t.covers(sum)
+		}
+		q := &queue{team: t}
+		for _, j := range jobs {
+			if j.waiting > 0 && !j.broken && !now.Before(j.retryAt) {
+				q.jobs = append(q.jobs, j)
+			}
+		}
+		sort.SliceStable(q.jobs, func(a, b int) bool {
+			x, y := q.jobs[a], q.jobs[b]
+			if x.covered != y.covered {
+				return x.covered
+			}
+			if l, m := x.Rank.Level(), y.Rank.Level(); l != m {
+				return l > m
+			}
+			return earlier(x, y)
+		})
+		if len(q.jobs) > 0 {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+// place starts what it can of a job in this turn; false: nothing more now.
+func (p *Part) place(j *Job, t *team, now time.Time) bool {
+	if j.noRoom == p.room {
+		return false
+	}
+	n := min(j.waiting, slice)
+	if j.Shape == wire.Gang {
+		n = j.Tasks
+		if j.waiting < n {
+			return false
+		}
+	}
+	left := t.left(need(j.Job))
+	if left < n {
+		if j.Shape == wire.Gang || left == 0 {
+			return false
+		}
+		n = left
+	}
+	where := p.fit(j, n, now, (*Machine).free)
+	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
+		j.noRoom = p.room
+		p.makeRoom(j, min(n, 2*slice), now)
+		return false
+	}
+	j.try++
+	j.held = false
+	k := 0
+	for i := range j.tasks {
+		if k == len(where) {
+			break
+		}
+		if j.tasks[i] != waiting {
+			continue
+		}
+		m := where[k]
+		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session}
+		c := pl.chunkOf(j)
+		c.version++
+		pl.version = c.version
+		p.attach(pl)
+		m.images[j.Image] = now
+		p.trimImages(m)
+		if m.reserved == j.ID {
+			m.reserved = ""
+		}
+		p.Started++
+		k++
+	}
+	return j.waiting > 0 && j.Shape == wire.Array
+}
+
+func (pl *Placement) chunkOf(j *Job) *chunk { return j.chunks[pl.task/j.chunkSize()] }
+
+// trimImages keeps the guess of a machine's cache to the most recently used.
+func (p *Part) trimImages(m *Machine) {
+	const most = 12 // images; the cloud's caches hold about as many
+	for len(m.images) > most {
+		oldest := ""
+		for _, k := range sortedKeys(m.images) {
+			if oldest == "" || m.images[k].Before(m.images[oldest]) {
+				oldest = k
+			}
+		}
+		delete(m.images, oldest)
+	}
+}
+
+// zoneCount counts the job's tasks that may be live, by zone.
+func zoneCount(j *Job) map[string]int {
+	out := map[string]int{}
+	for _, pl := range j.placed {
+		out[pl.machine.Rec.Zone]++
+	}
+	return out
+}
+
+func allowed(j *wire.Job, m *Machine) bool {
+	if m.Rec.Spot && !j.Spot {
+		return false
+	}
+	if j.Zone != "" && m.Rec.Zone != j.Zone {
+		return false
+	}
+	return typeAllowed(j.Types, m.Rec.Type)
+}
+
+func typeAllowed(types []string, name string) bool {
+	if len(types) == 0 {
+		return true
+	}
+	for _, t := range types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// fit finds machines for up to n tasks of a job, for a gang for all n or none.
+// free tells what room of a machine counts.
+func (p *Part) fit(j *Job, n int, now time.Time, free func(*Machine) Room) []*Machine {
+	r := need(j.Job)
+	zones := zoneCount(j)
+	var cands []*Machine
+	for _, id := range p.order {
+		m := p.machines[id]
+		if !m.usable() || !allowed(j.Job, m) || j.failedOn[id] {
+			continue
+		}
+		if m.reserved != "" && m.reserved != j.ID && now.Before(m.resUntil) {
+			continue
+		}
+		if !free(m).holds(r) {
+			continue
+		}
+		cands = append(cands, m)
+	}
+	if len(cands) == 0 {
+		return nil
+	}
+	if !j.OneZone {
+		return p.pick(j, n, cands, zones, free)
+	}
+	// All tasks in one zone, old attempts that may be live included.
+	names := map[string][]*Machine{}
+	for _, m := range cands {
+		names[m.Rec.Zone] = append(names[m.Rec.Zone], m)
+	}
+	var best []*Machine
+	bestCost := 0.0
+	for _, z := range sortedKeys(names) {
+		if len(zones) > 0 && zones[z] == 0 {
+			continue
+		}
+		got := p.pick(j, n, names[z], zones, free)
+		if j.Shape == wire.Gang && len(got) < n {
+			continue
+		}
+		c := 0.0
+		for _, m := range got {
+			c += p.cost(j, m, free(m))
+		}
+		if len(got) > len(best) || (len(got) == len(best) && c < bestCost) {
+			best, bestCost = got, c
+		}
+	}
+	return best
+}
+
+// pick takes the cheapest machines one after the other.
+func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
+	r := need(j.Job)
+	left := make([]Room, len(cands))
+	for i, m := range cands {
+		left[i] = free(m)
+	}
+	perZone := map[string]int{}
+	for z, c := range zones {
+		perZone[z] = c
+	}
+	limit := (j.Tasks + 1) / 2
+	var out []*Machine
+	for len(out) < n {
+		best, bestCost := -1, 0.0
+		for i, m := range cands {
+			if !left[i].holds(r) || (j.Spread && perZone[m.Rec.Zone] >= limit) {
+				continue
+			}
+			if c := p.cost(j, m, left[i]); best < 0 || c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+		if best < 0 {
+			break
+		}
+		left[best] = left[best].sub(r)
+		perZone[cands[best].Rec.Zone]++
+		out = append(out, cands[best])
+	}
+	return out
+}
+
+// cost orders machines for a task, in seconds: the image's fetch, then the
+// scarcer machine, then the emptier one, so that whole machines fall empty.
+func (p *Part) cost(j *Job, m *Machine, free Room) float64 {
+	c := 0.0
+	if _, ok := m.images[j.Image]; !ok && m.typ.FetchRate > 0 {
+		c += j.ImageGB / m.typ.FetchRate
+	}
+	if j.GPUs == 0 && m.typ.GPUs > 0 {
+		c += 120
+	}
+	c += 10 * (1 - m.size.share(m.used))
+	if j.Spot && !m.Rec.Spot {
+		c += 2
+	}
+	return c
+}
+
+// makeRoom stops work of lower rank, or what another team runs beyond its
+// guarantee, for a job that finds no room.
+func (p *Part) makeRoom(j *Job, n int, now time.Time) {
+	if now.Sub(j.preempted) < tuning.Seconds(p.t.PreemptGapS) {
+		return
+	}
+	if !p.mayOutrank(j) {
+		return
+	}
+	victims := func(m *Machine) []*Placement {
+		var out []*Placement
+		for _, k := range sortedAttempts(m.places) {
+			if pl := m.places[k]; p.yields(pl, j) {
+				out = append(out, pl)
+			}
+		}
+		return out
+	}
+	where := p.fit(j, n, now, func(m *Machine) Room {
+		f := m.free()
+		for _, pl := range victims(m) {
+			f = f.add(need(pl.job.Job))
+		}
+		return f
+	})
+	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
+		return
+	}
+	want := map[*Machine]int{}
+	for _, m := range where {
+		want[m]++
+	}
+	j.preempted, j.held = now, true
+	for _, m := range where {
+		k, ok := want[m]
+		if !ok {
+			continue
+		}
+		delete(want, m)
+		goal := need(j.Job).times(k)
+		room := m.free()
+		grace := 0.0
+		for _, pl := range m.places {
+			if pl.kill != nil {
+				room = room.add(need(pl.job.Job))
+			}
+		}
+		vs := victims(m)
+		// Those that have run the least lose the least.
+		sort.SliceStable(vs, func(a, b int) bool { return vs[a].began.After(vs[b].began) })
+		for _, pl := range vs {
+			if room.holds(goal) {
+				break
+			}
+			if pl.kill != nil {
+				continue
+			}
+			room = room.add(need(pl.job.Job))
+			grace = max(grace, pl.job.Save)
+			p.Preempted++
+			p.stopWhole(pl, now)
+		}
+		m.reserved = j.ID
+		m.resUntil = now.Add(tuning.Seconds(grace + p.t.GraceS + 3*p.s.Cluster.Workers.ReportS))
+	}
+}
+
+func (p *Part) mayOutrank(j *Job) bool { return j.covered || j.Rank.Level() > 0 }
+
+// yields tells whether a placement may be stopped for a job.
+func (p *Part) yields(pl *Placement, j *Job) bool {
+	o := pl.job
+	if o == j || pl.over {
+		return false
+	}
+	if o.Rank.Level() < j.Rank.Level() {
+		return !(o.covered && !j.covered)
+	}
+	return j.covered && !o.covered && o.Team != j.Team
+}
--- /dev/null
+++ b/internal/core/records.go
@@ -0,0 +1,135 @@
+// Package core decides: which task runs where, what a worker is told, how large
+// the fleet should be. It does no input or output and reads no clock; time is
+// passed in.
+package core
+
+import (
+	"sort"
+
+	"ambersill/internal/wire"
+)
+
+// JobRecord is a job as users see it, kept for ever.
+type JobRecord struct {
+	Job   *wire.Job  `cbor:"job"`
+	Phase wire.Phase `cbor:"ph"`
+	Part  int        `cbor:"p"`
+	At    int64      `cbor:"at"` // submission, milliseconds of the time of day
+}
+
+// ChunkRecord is the state of some of a job's tasks. The first chunk also holds
+// the description, so that a new owner needs nothing else.
+type ChunkRecord struct {
+	Job *wire.Job `cbor:"job,omitempty"`
+	At  int64     `cbor:"at,omitempty"`
+	// JobStamp is the revision of the job's record; left out until the first
+	// rewrite, for both are created at the same revision.
+	JobStamp uint64       `cbor:"js,omitempty"`
+	Try      uint64       `cbor:"try"`            // highest attempt given out
+	Done     []int        `cbor:"done,omitempty"` // ranges [from, to) of task numbers, flattened
+	Live     []LiveRecord `cbor:"live,omitempty"`
+}
+
+// LiveRecord is a placement that may be in effect.
+type LiveRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Task    int
+	Try     uint64
+	Machine string
+	Session uint64
+}
+
+// Wishes that the leader writes into a machine's record.
+const (
+	WishNone   = ""
+	WishReturn = "return" // to the cloud
+	WishMove   = "move"   // to another part
+)
+
+// MachineRecord assigns a machine to a part.
+type MachineRecord struct {
+	Addr string `cbor:"addr"`
+	Type string `cbor:"type"`
+	Zone string `cbor:"zone"`
+	Spot bool   `cbor:"spot"`
+	Part int    `cbor:"part"`
+	Wish string `cbor:"wish,omitempty"`
+	To   int    `cbor:"to,omitempty"`
+	// Free: the owner has let go; nothing that its part placed can be live.
+	Free bool  `cbor:"free,omitempty"`
+	Born int64 `cbor:"born"` // milliseconds of the time of day
+}
+
+// HireRecord is written before the cloud is called, so that a rental whose
+// answer is lost can be repeated under the same name by any leader.
+type HireRecord struct {
+	Type  string `cbor:"type"`
+	Zone  string `cbor:"zone"`
+	Spot  bool   `cbor:"spot"`
+	Count int    `cbor:"n"`
+	Part  int    `cbor:"part"`
+	At    int64  `cbor:"at"`
+}
+
+// OwnerRecord names the node that holds a part or leads.
+type OwnerRecord struct {
+	Node string `cbor:"node"`
+}
+
+// Summary is what a part tells the leader each round.
+type Summary struct {
+	// Booked room per type, in machines.
+	Booked map[string]float64 `cbor:"booked"`
+	// Waiting tasks that fit no free room.
+	Waiting []Demand `cbor:"waiting"`
+	// Empty machines, which may be moved or given back.
+	Empty []string `cbor:"empty"`
+	// Up are the machines that have reported to this owner.
+	Up []string `cbor:"up"`
+	// Firm is the booked room of jobs that may not use spot machines.
+	Firm map[string]float64 `cbor:"firm"`
+	// Bad machines are to go back: faulty, or silent beyond their lease.
+	Bad []string `cbor:"bad"`
+}
+
+// Demand is a number of like tasks that wait unplaced.
+type Demand struct {
+	Types   []string `cbor:"t,omitempty"`
+	Zone    string   `cbor:"z,omitempty"`
+	Spot    bool     `cbor:"s"`
+	OneZone bool     `cbor:"o"`
+	Spread  bool     `cbor:"sp"`
+	Gang    bool     `cbor:"g"`
+	CPUs    float64  `cbor:"c"`
+	GPUs    float64  `cbor:"gp"`
+	RAM     float64  `cbor:"r"`
+	Tasks   int      `cbor:"n"`
+	Seconds float64  `cbor:"e"` // estimated run time of one
+	Level   int      `cbor:"l"`
+}
+
+// ranges packs the set of finished tasks of [from, to) for a record.
+func ranges(from, to int, done func(int) bool) []int {
+	var out []int
+	for i := from; i < to; i++ {
+		if !done(i) {
+			continue
+		}
+		if n := len(out); n > 0 && out[n-1] == i {
+			out[n-1] = i + 1
+		} else {
+			out = append(out, i, i+1)
+		}
+	}
+	return out
+}
+
+// sortedKeys makes iteration over maps repeatable.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/core/report.go
@@ -0,0 +1,336 @@
+package core
+
+import (
+	"time"
+
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// Verdict tells what to answer to a report.
+type Verdict int
+
+// The verdicts on a report.
+const (
+	Accepted   Verdict = iota // answer 200 with the commands
+	Stale                     // older than the newest: refuse, it must not renew the lease
+	Outranked                 // the worker has seen a higher token: this owner may be deposed
+	NotOurs                   // the machine is not of this part
+	Overloaded                // refuse for now
+)
+
+// Report takes in a worker's report and gives the commands for it. fresh tells
+// whether the state service has been reached lately; without, nothing starts.
+func (p *Part) Report(r *wire.Report, now time.Time, fresh bool) (Verdict, wire.ReportReply) {
+	var reply wire.ReportReply
+	m := p.machines[r.Machine]
+	if m == nil || m.Rec.Free {
+		return NotOurs, reply
+	}
+	if r.Token > m.token {
+		return Outranked, reply
+	}
+	// Reports held back by a cut arrive late; their lists are as old as they are.
+	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return Stale, reply
+	}
+	m.session, m.seq, m.reported = r.Session, r.Seq, r.Seq
+	m.answered, m.heard = now, true
+	if m.silent {
+		m.silent = false
+		p.room++
+	}
+	if n := r.Notice != nil; n != m.notice {
+		m.notice = n
+		p.room++
+	}
+	acked := r.Token == m.token
+	if acked {
+		p.ack(m, now)
+	}
+	reply.Token = m.token
+	p.takeTasks(m, r, acked, now)
+	if m.notice {
+		p.drain(m, now)
+	}
+	reply.Commands = p.commands(m, r, now, fresh)
+	return Accepted, reply
+}
+
+// takeTasks compares the worker's list with the placements.
+func (p *Part) takeTasks(m *Machine, r *wire.Report, acked bool, now time.Time) {
+	shown := make(map[attempt]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		k := attempt{t.Task, t.Attempt}
+		shown[k] = true
+		pl := m.places[k]
+		if pl == nil || pl.session > r.Session {
+			continue
+		}
+		pl.seen = true
+		if t.State != wire.Exited {
+			if t.State == wire.RunningTask && pl.state != wire.RunningTask && pl.began.IsZero() {
+				pl.began = now
+			}
+			pl.state = t.State
+			m.images[pl.job.Image] = now
+			continue
+		}
+		p.exited(pl, t, now)
+		c := pl.chunk()
+		m.clearing[k] = clearance{chunk: c, version: c.version}
+	}
+	for _, k := range sortedAttempts(m.places) {
+		pl := m.places[k]
+		if pl == nil || shown[k] {
+			continue
+		}
+		switch {
+		case pl.session < r.Session:
+			// The worker killed and forgot everything of its last session, and
+			// drops whatever was meant for that session.
+			p.requeue(pl, now)
+		case acked && pl.seen:
+			// Under the present token no earlier command can take effect any
+			// more, and the worker no longer has it.
+			p.requeue(pl, now)
+		}
+	}
+	if acked {
+		for k := range m.clearing {
+			if !shown[k] {
+				delete(m.clearing, k)
+			}
+		}
+	}
+}
+
+// exited takes in a task's end.
+func (p *Part) exited(pl *Placement, t *wire.TaskReport, now time.Time) {
+	j, m := pl.job, pl.machine
+	switch t.Cause {
+	case wire.CauseDone:
+		clear(m.failures)
+		j.backoff = 0
+		if j.Shape == wire.Gang {
+			// The tasks of a gang complete together, so the others are done even
+			// if their machines are lost before they can say so.
+			for i := range j.tasks {
+				p.finish(j, i)
+			}
+			for _, o := range j.placed {
+				o.over = true
+			}
+		} else {
+			p.finish(j, pl.task)
+		}
+		p.detach(pl)
+	case wire.CauseError:
+		p.failed(j, m, now)
+		p.requeue(pl, now)
+	default:
+		p.requeue(pl, now)
+	}
+}
+
+func (p *Part) finish(j *Job, task int) {
+	if j.tasks[task] == done {
+		return
+	}
+	if j.tasks[task] == waiting {
+		j.waiting--
+	}
+	j.tasks[task] = done
+	j.done++
+	j.chunks[task/j.chunkSize()].version++
+	p.Finished++
+}
+
+// failed notes an error: of the job if it fails on several machines, of the
+// machine if several jobs fail there.
+func (p *Part) failed(j *Job, m *Machine, now time.Time) {
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[m.ID] = true
+	m.failures[j.ID] = true
+	if len(m.failures) >= p.t.SickErrors && !m.sick {
+		m.sick = true
+		p.room++
+	}
+	if len(j.failedOn) >= 2 {
+		// A job that fails everywhere must not keep machines busy or rented.
+		if j.backoff == 0 {
+			j.backoff = p.t.ErrorBackoffS
+		} else {
+			j.backoff = min(2*j.backoff, p.t.ErrorBackoffMaxS)
+		}
+		j.retryAt = now.Add(tuning.Seconds(j.backoff))
+	}
+}
+
+// drain lets what can save do so before the cloud takes the machine.
+func (p *Part) drain(m *Machine, now time.Time) {
+	for _, k := range sortedAttempts(m.places) {
+		pl := m.places[k]
+		if pl == nil || pl.kill != nil || pl.over {
+			continue
+		}
+		j := pl.job
+		switch {
+		case !pl.sent:
+			p.requeue(pl, now)
+		case pl.state != wire.RunningTask || j.Checkpoint > 0:
+			p.stopWhole(pl, now)
+		}
+	}
+}
+
+// stopWhole stops a placement with the grace to save, and with it its gang:
+// all of a gang's tasks must be told together.
+func (p *Part) stopWhole(pl *Placement, now time.Time) {
+	j := pl.job
+	grace := 0.0
+	if j.Checkpoint > 0 {
+		grace = j.Save + p.t.GraceS
+	}
+	if j.Shape != wire.Gang {
+		p.stop(pl, grace, now)
+		return
+	}
+	j.broken = true
+	for _, o := range placements(j) {
+		p.stop(o, grace, now)
+	}
+}
+
+// commands composes the answer to a report.
+func (p *Part) commands(m *Machine, r *wire.Report, now time.Time, fresh bool) []wire.Command {
+	out := []wire.Command{}
+	for i := range r.Tasks {
+		if len(out) >= tuning.MaxCommands {
+			return out
+		}
+		t := &r.Tasks[i]
+		k := attempt{t.Task, t.Attempt}
+		pl := m.places[k]
+		switch {
+		case t.State == wire.Exited:
+			// Unknown exited tasks are those whose end is already on record.
+			if c, ok := m.clearing[k]; !ok || c.ready() {
+				out = append(out, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
+			}
+		case pl == nil:
+			// Nothing on record: cancelled, over or given up. It must go.
+			out = append(out, wire.Command{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt})
+		case pl.kill != nil:
+			out = append(out, wire.Command{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt, Grace: p.grace(pl, now)})
+		}
+	}
+	if !fresh || !m.acked || m.notice {
+		return out
+	}
+	for _, k := range sortedAttempts(m.places) {
+		if len(out) >= tuning.MaxCommands {
+			break
+		}
+		pl := m.places[k]
+		// A start leaves only after its placement is committed. One that no
+		// report has shown was lost with its answer, and may be repeated: the
+		// worker sends its next report only after it is through with the last.
+		if pl.seen || pl.kill != nil || pl.over || pl.session != r.Session || pl.chunk().committed < pl.version {
+			continue
+		}
+		if pl.job.Cancelled {
+			continue
+		}
+		pl.sent, pl.sentSeq = true, r.Seq
+		out = append(out, wire.Command{Op: wire.Start, Task: k.task, Attempt: k.try})
+	}
+	return out
+}
+
+// grace is what a stopped task still gets: a second order without grace ends a
+// task that does not come to an end.
+func (p *Part) grace(pl *Placement, now time.Time) float64 {
+	limit := pl.kill.grace + 2*p.s.Cluster.Workers.ReportS + p.t.MarginS
+	if now.Sub(pl.kill.at) > tuning.Seconds(limit) {
+		return 0
+	}
+	return pl.kill.grace
+}
+
+// Sweep handles what passes with time alone: silent machines, and starts whose
+// order is withdrawn.
+func (p *Part) Sweep(now time.Time) {
+	lease := tuning.Seconds(p.s.Cluster.Workers.LeaseS*(1+p.t.Drift) + p.t.MarginS)
+	for _, id := range p.order {
+		m := p.machines[id]
+		// Only an owner that has itself spoken with the worker under its token
+		// knows when the lease was last renewed; after a takeover the
+		// machine's return must be confirmed instead.
+		if !m.spoken || m.silent || now.Sub(m.answered) <= lease {
+			continue
+		}
+		m.silent = true
+		p.room++
+		for _, k := range sortedAttempts(m.places) {
+			if pl := m.places[k]; pl != nil {
+				p.requeue(pl, now)
+			}
+		}
+	}
+	// A start that was sent but never seen, and is to be stopped, is gone once
+	// a newer report does not show it. An answer to an order would not do: the
+	// start may be under way in the answer to a report.
+	for _, id := range p.order {
+		m := p.machines[id]
+		for _, k := range sortedAttempts(m.places) {
+			pl := m.places[k]
+			if pl != nil && pl.kill != nil && !pl.seen && pl.sent && pl.session == m.session && m.acked && m.reported > pl.sentSeq {
+				p.requeue(pl, now)
+			}
+		}
+	}
+}
+
+// Orders gives what to send straight to a machine: an empty order raises its
+// token, so that an earlier owner's commands can no longer take effect.
+func (p *Part) Orders(id string) (wire.Orders, bool) {
+	m := p.machines[id]
+	if m == nil || m.Rec.Free {
+		return wire.Orders{}, false
+	}
+	return wire.Orders{Token: m.token, Session: m.session, Commands: []wire.Command{}}, true
+}
+
+// Heard takes in a worker's answer to an order. It does not renew the lease,
+// which only answers to reports do.
+func (p *Part) Heard(r *wire.Report, now time.Time) {
+	m := p.machines[r.Machine]
+	if m == nil || r.Token > m.token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		return
+	}
+	m.session, m.seq = r.Session, r.Seq
+	if r.Token == m.token {
+		p.ack(m, now)
+	}
+	p.takeTasks(m, r, r.Token == m.token, now)
+}
+
+// ack notes that the worker has seen the present token.
+func (p *Part) ack(m *Machine, now time.Time) {
+	if !m.spoken {
+		// Answers of earlier owners are dropped from now on, so the lease was
+		// last renewed no later than this.
+		m.spoken, m.answered = true, now
+	}
+	if !m.acked {
+		m.acked = true
+		p.room++
+	}
+}
+
+// Urgent lists machines that should hear orders before their next report.
+func (p *Part) Urgent(time.Time) []string { return nil }
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,282 @@
+// Package store is the client of the state service, the only place where
+// controllers keep anything.
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ambersill/internal/wire"
+
+	"golang.org/x/time/rate"
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrNotFound: the key or the hold does not exist.
+	ErrNotFound = errors.New("state: not found")
+	// ErrRefused: the request was certainly not executed.
+	ErrRefused = errors.New("state: refused")
+	// ErrUnknown: no answer; the request may have been, or may yet be, executed.
+	ErrUnknown = errors.New("state: outcome unknown")
+	// ErrCompacted: a watch began too far back; read the keys again.
+	ErrCompacted = errors.New("state: revision too old")
+	// ErrNoHold: a put named a hold that has ended.
+	ErrNoHold = errors.New("state: hold has ended")
+)
+
+// Conflict says which conditions of a transaction failed.
+type Conflict struct{ Keys []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("state: conflict on %v", c.Keys) }
+
+// Options of a client.
+type Options struct {
+	Addr    string
+	Timeout time.Duration
+	// ReadRate and WriteRate are this node's share of the service's limits,
+	// per second.
+	ReadRate, WriteRate float64
+}
+
+// Client talks to the state service within a budget.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	watch   *http.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	contact atomic.Int64 // nanoseconds since start of the last answer
+
+	mu    sync.Mutex
+	start time.Time
+	calls struct{ ok, refused, unknown int }
+}
+
+// New makes a client.
+func New(o Options) *Client {
+	tr := func(conns int) *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			MaxConnsPerHost:     conns,
+			MaxIdleConnsPerHost: conns,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}
+	}
+	return &Client{
+		base:    "http://" + o.Addr,
+		timeout: o.Timeout,
+		http:    &http.Client{Transport: tr(16)},
+		watch:   &http.Client{Transport: tr(8)},
+		reads:   rate.NewLimiter(rate.Limit(o.ReadRate), max(1, int(o.ReadRate/2))),
+		writes:  rate.NewLimiter(rate.Limit(o.WriteRate), max(16, int(o.WriteRate))),
+		start:   time.Now(),
+	}
+}
+
+// SetShare changes this node's share of the service's limits, per second.
+func (c *Client) SetShare(reads, writes float64) {
+	if c.reads.Limit() != rate.Limit(reads) {
+		c.reads.SetLimit(rate.Limit(reads))
+	}
+	if c.writes.Limit() != rate.Limit(writes) {
+		c.writes.SetLimit(rate.Limit(writes))
+	}
+}
+
+// SinceContact is the time since the service last served this node.
+func (c *Client) SinceContact() time.Duration {
+	return time.Since(c.start) - time.Duration(c.contact.Load())
+}
+
+// Counts returns how many calls were served, refused and left unanswered.
+func (c *Client) Counts() (ok, refused, unknown int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls.ok, c.calls.refused, c.calls.unknown
+}
+
+func (c *Client) count(n *int) {
+	c.mu.Lock()
+	*n++
+	c.mu.Unlock()
+}
+
+func (c *Client) do(ctx context.Context, cl *http.Client, method, path string, body, out any) error {
+	var rd io.Reader
+	if body != nil {
+		b, err := wire.Marshal(body)
+		if err != nil {
+			return err
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	resp, err := cl.Do(req)
+	if err != nil {
+		c.count(&c.calls.unknown)
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		c.count(&c.calls.refused)
+		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		return fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	}
+	// Any other answer shows that the service serves this node.
+	c.contact.Store(int64(time.Since(c.start)))
+	c.count(&c.calls.ok)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if out == nil {
+			io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+			return nil
+		}
+		if err := wire.ReadReply(resp.Body, out); err != nil {
+			return fmt.Errorf("%w: %v", ErrUnknown, err)
+		}
+		return nil
+	case http.StatusNotFound:
+		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		return ErrNotFound
+	case http.StatusGone:
+		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		return ErrCompacted
+	case http.StatusConflict:
+		var r wire.TxnReply
+		if err := wire.ReadReply(resp.Body, &r); err != nil {
+			return fmt.Errorf("%w: %v", ErrUnknown, err)
+		}
+		return &Conflict{Keys: r.Failed}
+	default:
+		var p wire.Problem
+		_ = wire.ReadReply(resp.Body, &p)
+		if p.Error == "no such lease" {
+			return ErrNoHold
+		}
+		return fmt.Errorf("state: status %d %s", resp.StatusCode, p.Error)
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.do(ctx, c.http, method, path, body, out)
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
+	var it wire.Item
+	if err := c.wait(ctx, c.reads, 1); err != nil {
+		return it, err
+	}
+	err := c.call(ctx, http.MethodGet, "/store/"+key, nil, &it)
+	return it, err
+}
+
+// wait takes n from a budget; a wait longer than the context allows is a refusal.
+func (c *Client) wait(ctx context.Context, l *rate.Limiter, n int) error {
+	if err := l.WaitN(ctx, n); err != nil {
+		return fmt.Errorf("%w: over budget", ErrRefused)
+	}
+	return nil
+}
+
+// List reads all keys with a prefix. The revision is that of the first page: a
+// watch from there misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	var all []wire.Item
+	var rev uint64
+	since := ""
+	for {
+		if err := c.wait(ctx, c.reads, 1); err != nil {
+			return nil, 0, err
+		}
+		var p wire.Page
+		q := "/store?prefix=" + url.QueryEscape(prefix) + "&most=1000"
+		if since != "" {
+			q += "&since=" + url.QueryEscape(since)
+		}
+		if err := c.call(ctx, http.MethodGet, q, nil, &p); err != nil {
+			return nil, 0, err
+		}
+		if rev == 0 {
+			rev = p.Revision
+		}
+		all = append(all, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return all, rev, nil
+		}
+		since = p.Items[len(p.Items)-1].Key
+	}
+}
+
+// Commit runs a transaction. ErrUnknown means it may still take effect.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := c.wait(ctx, c.reads, 1); err != nil {
+		return 0, err
+	}
+	if n := len(t.Then); n > 0 {
+		if err := c.wait(ctx, c.writes, n); err != nil {
+			return 0, err
+		}
+	}
+	if t.If == nil {
+		t.If = []wire.Cond{}
+	}
+	var r wire.TxnReply
+	if err := c.call(ctx, http.MethodPost, "/commit", t, &r); err != nil {
+		return 0, err
+	}
+	return r.Revision, nil
+}
+
+// Grant makes a hold. Holds are never kept back by the budget: without them
+// everything else is lost.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	var r wire.HoldReply
+	err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{LifeMS: life.Milliseconds()}, &r)
+	return r.Hold, err
+}
+
+// Extend renews a hold.
+func (c *Client) Extend(ctx context.Context, hold uint64) error {
+	return c.call(ctx, http.MethodPost, "/holds/"+strconv.FormatUint(hold, 10)+"/extend", nil, nil)
+}
+
+// End ends a hold at once.
+func (c *Client) End(ctx context.Context, hold uint64) error {
+	return c.call(ctx, http.MethodDelete, "/holds/"+strconv.FormatUint(hold, 10), nil, nil)
+}
+
+// Watch waits for changes under a prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (wire.WatchReply, error) {
+	var r wire.WatchReply
+	if err := c.wait(ctx, c.reads, 1); err != nil {
+		return r, err
+	}
+	// An outage holds watches open; the slack keeps one from hanging for ever
+	// on a connection that a cut has swallowed.
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	q := fmt.Sprintf("/watch?prefix=%s&since=%d&waitMs=%d", url.QueryEscape(prefix), since, wait.Milliseconds())
+	err := c.do(ctx, c.watch, http.MethodGet, q, nil, &r)
+	return r, err
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,113 @@
+// Package tuning holds every constant of ambersill in one place, each with its
+// unit and the reason for its value. Operators override them by name in a
+// policy script.
+package tuning
+
+import "time"
+
+// Tuning are the values that may be overridden. Durations are in seconds, so
+// that a script can write them plainly.
+type Tuning struct {
+	// Parts is how many parts the jobs are divided into; 0 means one for each
+	// controller.
+	Parts int
+	// HoldS: seconds that a node's lease in the state service lasts. A dead
+	// controller's parts stand still for this long; much shorter, and one slow
+	// answer would cost a live controller its parts.
+	HoldS float64
+	// StateTimeoutS: seconds until a request to the state service counts as
+	// unanswered. Answers mostly take 10 ms and now and then some hundreds.
+	StateTimeoutS float64
+	// FreshS: seconds since the last answer of the state service for which an
+	// owner still starts tasks.
+	FreshS float64
+	// MarginS: seconds kept in hand wherever a worker's lease is waited for.
+	MarginS float64
+	// Drift: share by which clocks of two machines may drift apart (0.05%
+	// each by the platform, doubled for two).
+	Drift float64
+	// TickS: seconds between scheduling passes when nothing happens.
+	TickS float64
+	// PassGapS: least seconds between two passes of a busy part; changes of one
+	// chunk within it share one write.
+	PassGapS float64
+	// RoundS: seconds between two sizings of the fleet (the design's).
+	RoundS float64
+	// InFlightTarget: booked share of a machine that sizing aims at (the design's).
+	InFlightTarget float64
+	// QueueTarget: waiting machine units per extra machine (the design's).
+	QueueTarget float64
+	// HorizonS: seconds within which short tasks of an array are counted as
+	// following one another in the same place: about a boot's time, since a
+	// machine that is up only after they are over is wasted.
+	HorizonS float64
+	// GiveBackS: seconds that a lower target must hold before empty machines
+	// go back (the design's).
+	GiveBackS float64
+	// ListS: seconds between two readings of the cloud's list of machines.
+	ListS float64
+	// SummaryS: least seconds between two summaries of a part.
+	SummaryS float64
+	// BootPatience: multiple of a type's boot time after which a machine
+	// that is still booting goes back; most are up within 1.5.
+	BootPatience float64
+	// RefusalS: seconds that a kind of machine which the cloud has refused is
+	// not asked for again; doubled at each refusal up to RefusalMaxS.
+	RefusalS    float64
+	RefusalMaxS float64
+	// ErrorBackoffS: seconds that a job waits after a task failed with an
+	// error; doubled each time up to ErrorBackoffMaxS.
+	ErrorBackoffS    float64
+	ErrorBackoffMaxS float64
+	// SickErrors: failures of different jobs' tasks, with none done
+	// in between, after which a machine counts as faulty.
+	SickErrors int
+	// PreemptGapS: seconds before the same job may stop others again.
+	PreemptGapS float64
+	// GraceS: seconds of grace beyond what a task says that saving takes.
+	GraceS float64
+	// UserWaitS: seconds within which a user's request is answered, at the
+	// latest with a refusal; users wait 2 s for a query and 5 s otherwise.
+	UserWaitS float64
+	// RetryAfterS: seconds that a user whose request was refused is asked to wait.
+	RetryAfterS int
+	// ShareReserve: share of the state service's limits left unused, since
+	// nodes count their requests apart.
+	ShareReserve float64
+	// FinalCache: finished jobs whose answer a node remembers.
+	FinalCache int
+}
+
+// Default returns the values that ambersill starts with.
+func Default() Tuning {
+	return Tuning{
+		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
+		TickS: 0.5, PassGapS: 0.1, RoundS: 10, InFlightTarget: 0.8, QueueTarget: 1, HorizonS: 60, GiveBackS: 60,
+		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, GraceS: 2,
+		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, FinalCache: 4096,
+	}
+}
+
+// Fixed limits, not for tuning.
+const (
+	// MaxRent: machines in one rental; their records must fit one transaction.
+	MaxRent = 8
+	// MaxCommands: commands in one answer to a worker; at about 80 bytes
+	// each this stays well under the protocol's 64 KiB.
+	MaxCommands = 200
+	// TaskBytes: bytes of a record set aside for one task; a placement takes
+	// about 40.
+	TaskBytes = 64
+	// TxnBytes: bytes that one transaction may take; the service allows 64 KiB.
+	TxnBytes = 48 << 10
+	// UserConns: sockets left for everything but users and workers.
+	SpareSockets = 100
+	// ReadTimeout: for a request's body; slow senders must not hold sockets.
+	ReadTimeout = 10 * time.Second
+	// IdleTimeout: for a connection without requests.
+	IdleTimeout = 2 * time.Minute
+)
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,60 @@
+// Package worker sends orders straight to workers.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"ambersill/internal/wire"
+)
+
+// Client talks to workers.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New makes a client that waits for an answer for the given time at most.
+func New(timeout time.Duration) *Client {
+	return &Client{timeout: timeout, http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxConnsPerHost:     1,
+		MaxIdleConns:        64,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}
+}
+
+// Order sends orders. executed is true only if the worker carried them out; on
+// an error they may still be, for as long as token and session match.
+func (c *Client) Order(ctx context.Context, addr string, o wire.Orders) (r *wire.Report, executed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	b, err := wire.Marshal(o)
+	if err != nil {
+		return nil, false, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(b))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, false, fmt.Errorf("worker: status %d", resp.StatusCode)
+	}
+	var rep wire.Report
+	if err := wire.ReadReply(resp.Body, &rep); err != nil {
+		return nil, false, err
+	}
+	return &rep, resp.StatusCode == http.StatusOK, nil
+}
