--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -157,22 +157,22 @@
 		}
 		go func() {
 			defer func() { <-sem }()
-			o.order(t.id, t.addr)
+			o.seizeOne(t.id, t.addr)
 		}()
 	}
 }
 
-// order sends a machine what it should hear, and takes the answer in as a report.
-func (o *owned) order(id, addr string) {
+// seizeOne raises one machine's token, and takes the answer in as a report.
+func (o *owned) seizeOne(id, addr string) {
 	o.mu.Lock()
-	ord, ok := o.p.Orders(id)
+	ord, ok := o.p.Seizure(id)
 	o.mu.Unlock()
 	if !ok {
 		return
 	}
 	r, _, err := o.c.workers.Order(o.ctx, addr, ord)
 	if err != nil {
-		slog.Debug("order unanswered", "machine", id, "err", err)
+		slog.Debug("machine not seized yet", "machine", id, "err", err)
 		return
 	}
 	o.mu.Lock()
@@ -181,6 +181,27 @@
 	o.poke()
 }
 
+// order sends a machine its starts and stops.
+func (o *owned) order(id, addr string) {
+	o.mu.Lock()
+	ord, ok := o.p.Orders(id)
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	r, executed, err := o.c.workers.Order(o.ctx, addr, ord)
+	if err != nil {
+		slog.Debug("order unanswered", "machine", id, "err", err)
+	}
+	o.mu.Lock()
+	o.p.Ordered(ord, id, executed, err == nil)
+	if err == nil {
+		o.p.Heard(r, time.Now())
+	}
+	o.mu.Unlock()
+	o.poke()
+}
+
 // followJobs learns of submissions and cancellations.
 func (o *owned) followJobs(rev uint64) {
 	o.watchJobs(rev)
@@ -269,8 +290,11 @@
 
 // direct sends starts and stops without waiting for the next report.
 func (o *owned) direct() {
+	if o.c.store.SinceContact() >= tuning.Seconds(o.c.t.FreshS) {
+		return
+	}
 	o.mu.Lock()
-	ids := o.p.Urgent(time.Now())
+	ids := o.p.Urgent()
 	o.mu.Unlock()
 	for _, id := range ids {
 		if e, ok := o.c.cluster.machine(id); ok && e.rec.Addr != "" {
@@ -337,34 +361,43 @@
 	return false
 }
 
-// release lets go of machines that the leader wants back and that are empty.
+// release lets go of machines that the leader wants back and that are empty,
+// and raises the tokens of those where an order's outcome is unknown.
 func (o *owned) release() {
 	o.mu.Lock()
 	ids := append([]string(nil), o.p.MachineIDs()...)
+	doubtful := o.p.Doubtful()
 	o.mu.Unlock()
 	for _, id := range ids {
 		o.mu.Lock()
 		r, stamp, ok := o.p.Releasable(id)
 		o.mu.Unlock()
-		if !ok {
-			continue
-		}
-		key := machinePrefix + id
-		rev, err := o.c.store.Commit(o.ctx, wire.Txn{
-			If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}, {Key: key, Stamp: stamp}},
-			Then: []wire.Write{{Put: key, Value: r}},
-		})
-		if err != nil {
-			slog.Debug("machine not released", "machine", id, "err", err)
-			continue
+		if ok {
+			o.rewrite(id, r, stamp)
 		}
-		v, err := wire.Marshal(r)
-		if err == nil {
-			o.c.cluster.apply(key, v, rev, false)
+	}
+	for _, id := range doubtful {
+		if e, ok := o.c.cluster.machine(id); ok && e.rec.Part == o.index {
+			o.rewrite(id, e.rec, e.stamp)
 		}
 	}
 }
 
+// rewrite writes a machine's record under this owner's fence. The new stamp
+// becomes the machine's token.
+func (o *owned) rewrite(id string, r core.MachineRecord, stamp uint64) {
+	key := machinePrefix + id
+	rev, err := o.c.store.Commit(o.ctx, wire.Txn{
+		If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}, {Key: key, Stamp: stamp}},
+		Then: []wire.Write{{Put: key, Value: r}},
+	})
+	if err != nil {
+		slog.Debug("machine's record not rewritten", "machine", id, "err", err)
+		return
+	}
+	o.c.cluster.apply(key, must(wire.Marshal(r)), rev, false)
+}
+
 // summarise writes the part's summary when it has changed.
 func (o *owned) summarise() {
 	if time.Since(o.told) < tuning.Seconds(o.c.t.SummaryS) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -182,7 +182,7 @@
 		p.Started++
 		k++
 	}
-	return j.waiting > 0 && j.Shape == wire.Array
+	return j.waiting > 0 && j.Shape != wire.Gang
 }
 
 func (pl *Placement) chunkOf(j *Job) *chunk { return j.chunks[pl.task/j.chunkSize()] }
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -91,6 +91,9 @@
 			// The worker killed and forgot everything of its last session, and
 			// drops whatever was meant for that session.
 			p.requeue(pl, now)
+		case acked && pl.direct > 0 && pl.direct < m.token:
+			// Its order was never answered, and can no longer be carried out.
+			p.requeue(pl, now)
 		case acked && pl.seen:
 			// Under the present token no earlier command can take effect any
 			// more, and the worker no longer has it.
@@ -218,7 +221,7 @@
 		switch {
 		case t.State == wire.Exited:
 			// Unknown exited tasks are those whose end is already on record.
-			if c, ok := m.clearing[k]; !ok || c.ready() {
+			if c, ok := m.clearing[k]; (!ok || c.ready()) && !m.ordering && !m.doubt {
 				out = append(out, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
 			}
 		case pl == nil:
@@ -226,9 +229,10 @@
 			out = append(out, wire.Command{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt})
 		case pl.kill != nil:
 			out = append(out, wire.Command{Op: wire.Stop, Task: t.Task, Attempt: t.Attempt, Grace: p.grace(pl, now)})
+			pl.kill.told = true
 		}
 	}
-	if !fresh || !m.acked || m.notice {
+	if !fresh || !m.acked || m.notice || m.ordering || m.doubt {
 		return out
 	}
 	for _, k := range sortedAttempts(m.places) {
@@ -239,10 +243,7 @@
 		// A start leaves only after its placement is committed. One that no
 		// report has shown was lost with its answer, and may be repeated: the
 		// worker sends its next report only after it is through with the last.
-		if pl.seen || pl.kill != nil || pl.over || pl.session != r.Session || pl.chunk().committed < pl.version {
-			continue
-		}
-		if pl.job.Cancelled {
+		if !p.startable(pl) {
 			continue
 		}
 		pl.sent, pl.sentSeq = true, r.Seq
@@ -288,16 +289,16 @@
 		m := p.machines[id]
 		for _, k := range sortedAttempts(m.places) {
 			pl := m.places[k]
-			if pl != nil && pl.kill != nil && !pl.seen && pl.sent && pl.session == m.session && m.acked && m.reported > pl.sentSeq {
+			if pl != nil && pl.kill != nil && !pl.seen && pl.sent && !m.ordering && !m.doubt && pl.session == m.session && m.acked && m.reported > pl.sentSeq {
 				p.requeue(pl, now)
 			}
 		}
 	}
 }
 
-// Orders gives what to send straight to a machine: an empty order raises its
-// token, so that an earlier owner's commands can no longer take effect.
-func (p *Part) Orders(id string) (wire.Orders, bool) {
+// Seizure is an empty order, which raises a machine's token, so that an earlier
+// owner's commands can no longer take effect.
+func (p *Part) Seizure(id string) (wire.Orders, bool) {
 	m := p.machines[id]
 	if m == nil || m.Rec.Free {
 		return wire.Orders{}, false
@@ -305,6 +306,95 @@
 	return wire.Orders{Token: m.token, Session: m.session, Commands: []wire.Command{}}, true
 }
 
+// Urgent lists machines that should hear orders before their next report.
+func (p *Part) Urgent() []string {
+	var out []string
+	for _, id := range p.order {
+		m := p.machines[id]
+		if !m.acked || m.silent || m.ordering || m.doubt {
+			continue
+		}
+		for _, pl := range m.places {
+			if (pl.kill != nil && !pl.kill.told) || (!pl.sent && !m.notice && p.startable(pl)) {
+				out = append(out, id)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// startable tells whether a placement's start may leave: only after it is committed.
+func (p *Part) startable(pl *Placement) bool {
+	return !pl.seen && pl.kill == nil && !pl.over && !pl.job.Cancelled &&
+		pl.session == pl.machine.session && pl.chunk().committed >= pl.version
+}
+
+// Orders gives the starts and stops to send straight to a machine. Until the
+// order is answered nothing else starts or is cleared there: a copy that is held
+// back on the way could start a task once more after it was cleared.
+func (p *Part) Orders(id string) (wire.Orders, bool) {
+	m := p.machines[id]
+	if m == nil || m.ordering || m.doubt || !m.acked {
+		return wire.Orders{}, false
+	}
+	o := wire.Orders{Token: m.token, Session: m.session}
+	for _, k := range sortedAttempts(m.places) {
+		if len(o.Commands) >= tuning.MaxCommands {
+			break
+		}
+		pl := m.places[k]
+		switch {
+		case pl.kill != nil && !pl.kill.told:
+			pl.kill.told = true
+			o.Commands = append(o.Commands, wire.Command{Op: wire.Stop, Task: k.task, Attempt: k.try, Grace: pl.kill.grace})
+		case !pl.sent && !m.notice && p.startable(pl):
+			// A start sent in the answer to a report is repeated only there.
+			pl.sent, pl.sentSeq, pl.direct = true, m.reported, m.token
+			o.Commands = append(o.Commands, wire.Command{Op: wire.Start, Task: k.task, Attempt: k.try})
+			m.ordering = true
+		}
+	}
+	return o, len(o.Commands) > 0
+}
+
+// Ordered notes what became of an order with starts. Without an answer it may
+// still be carried out as long as token and session match, so the token has to
+// be raised before anything is concluded from the tasks' absence.
+func (p *Part) Ordered(o wire.Orders, id string, executed, answered bool) {
+	m := p.machines[id]
+	if m == nil || !m.ordering {
+		return
+	}
+	m.ordering = false
+	for _, c := range o.Commands {
+		pl := m.places[attempt{c.Task, c.Attempt}]
+		if c.Op != wire.Start || pl == nil {
+			continue
+		}
+		switch {
+		case executed:
+			pl.seen = true
+		case answered:
+			pl.sent, pl.direct = false, 0
+		default:
+			m.doubt, m.doubtToken = true, m.token
+		}
+	}
+	p.room++
+}
+
+// Doubtful lists machines whose records must be rewritten to raise their tokens.
+func (p *Part) Doubtful() []string {
+	var out []string
+	for _, id := range p.order {
+		if m := p.machines[id]; m.doubt && m.token == m.doubtToken {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Heard takes in a worker's answer to an order. It does not renew the lease,
 // which only answers to reports do.
 func (p *Part) Heard(r *wire.Report, now time.Time) {
@@ -326,11 +416,12 @@
 		// last renewed no later than this.
 		m.spoken, m.answered = true, now
 	}
+	if m.doubt && m.token > m.doubtToken {
+		m.doubt = false
+		p.room++
+	}
 	if !m.acked {
 		m.acked = true
 		p.room++
 	}
 }
-
-// Urgent lists machines that should hear orders before their next report.
-func (p *Part) Urgent(time.Time) []string { return nil }
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -114,7 +114,8 @@
 	version int // of the chunk that records it
 	sent    bool
 	sentSeq uint64
-	seen    bool // a report has shown it
+	direct  uint64 // token of the order that carried the start, if one did
+	seen    bool   // a report has shown it
 	state   wire.TaskState
 	began   time.Time // first seen running
 	kill    *killOrder
@@ -124,6 +125,7 @@
 type killOrder struct {
 	grace float64
 	at    time.Time
+	told  bool // has left at least once
 }
 
 func (p *Placement) chunk() *chunk { return p.job.chunks[p.task/p.job.chunkSize()] }
@@ -164,22 +166,27 @@
 	answered time.Time // last report answered
 	heard    bool
 	notice   bool
-	silent   bool
-	sick     bool
-	places   map[attempt]*Placement
-	clearing map[attempt]clearance
-	images   map[string]time.Time
-	failures map[string]bool // jobs that failed here since the last success
-	reserved string          // job that room is kept for
-	resUntil time.Time
-	adopted  time.Time
+	// ordering: an order with starts is under way. doubt: one was not answered,
+	// and may be carried out until the worker has seen a token above doubtToken.
+	ordering   bool
+	doubt      bool
+	doubtToken uint64
+	silent     bool
+	sick       bool
+	places     map[attempt]*Placement
+	clearing   map[attempt]clearance
+	images     map[string]time.Time
+	failures   map[string]bool // jobs that failed here since the last success
+	reserved   string          // job that room is kept for
+	resUntil   time.Time
+	adopted    time.Time
 }
 
 func (m *Machine) free() Room { return m.size.sub(m.used) }
 
 // usable tells whether tasks may be placed here.
 func (m *Machine) usable() bool {
-	return m.acked && !m.notice && !m.silent && !m.sick && m.Rec.Wish == WishNone && !m.Rec.Free
+	return m.acked && !m.doubt && !m.notice && !m.silent && !m.sick && m.Rec.Wish == WishNone && !m.Rec.Free
 }
 
 type team struct {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -14,6 +14,9 @@
 const (
 	Array Shape = "array"
 	Gang  Shape = "ensemble"
+	// Service is named by the deployments' lists of words, not by the
+	// protocol's page: independent tasks that run until their user cancels.
+	Service Shape = "service"
 )
 
 // Rank is a job's priority.
@@ -133,7 +136,7 @@
 		return nil, errors.New("bad number of tasks")
 	}
 	j.Tasks = int(*s.Tasks)
-	if j.Shape != Array && j.Shape != Gang {
+	if j.Shape != Array && j.Shape != Gang && j.Shape != Service {
 		return nil, errors.New("unknown shape")
 	}
 	if j.Rank.Level() < 0 {
