--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,8 +36,8 @@
 	owned    map[int]*owned
 	hold     uint64
 	finals   map[string]core.JobRecord
-	strays   map[string]wire.Report // machines that report without a record
-	restPart map[int]time.Time      // parts not to be claimed again at once
+	addrs    map[string]string // where machines can be reached, by their reports or the cloud's list
+	restPart map[int]time.Time // parts not to be claimed again at once
 }
 
 // New makes a controller that has not started yet.
@@ -45,7 +45,7 @@
 	st := s.Cluster.State
 	c := &Controller{
 		s: s, t: t, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
-		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, strays: map[string]wire.Report{}, restPart: map[int]time.Time{},
+		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, restPart: map[int]time.Time{},
 		store:   store.New(store.Options{Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(tuning.Seconds(s.Cluster.Workers.ReportS)),
@@ -401,10 +401,29 @@
 // Contact is the time since the state service last served this node.
 func (c *Controller) Contact() time.Duration { return c.store.SinceContact() }
 
+// learn notes where a machine can be reached.
+func (c *Controller) learn(id, addr string) {
+	const most = 4096 // machines; far above what any deployment rents
+	c.mu.Lock()
+	if addr != "" && (len(c.addrs) < most || c.addrs[id] != "") {
+		c.addrs[id] = addr
+	}
+	c.mu.Unlock()
+}
+
+// addr tells where a machine can be reached; "" if that is not known yet.
+func (c *Controller) addr(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addrs[id]
+}
+
 func (c *Controller) machineChanged(id string, e machineEntry, gone bool) {
 	c.mu.Lock()
 	all := c.ownedParts()
-	delete(c.strays, id)
+	if gone {
+		delete(c.addrs, id)
+	}
 	c.mu.Unlock()
 	for _, o := range all {
 		o.mu.Lock()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -161,6 +161,7 @@
 	for _, m := range list {
 		l.listed[m.ID] = m
 		l.seen[m.ID] = true
+		l.c.learn(m.ID, m.Addr)
 	}
 	ids, recs := l.machines()
 	for _, id := range ids {
@@ -193,7 +194,7 @@
 		if _, ok := l.gone[m.ID]; ok {
 			continue
 		}
-		rec := core.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: l.partFor(recs),
+		rec := core.MachineRecord{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: l.partFor(recs),
 			Born: now.UnixMilli() - int64(m.Age*1000)}
 		recs[m.ID] = machineEntry{rec: rec}
 		key := machinePrefix + m.ID
@@ -279,9 +280,6 @@
 			for _, id := range ids {
 				k := machinePrefix + id
 				rec := core.MachineRecord{Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Part: h.rec.Part, Born: time.Now().UnixMilli()}
-				if m, ok := l.listed[id]; ok {
-					rec.Addr = m.Addr
-				}
 				if _, known := l.c.cluster.machine(id); known {
 					continue
 				}
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -139,12 +139,17 @@
 
 // seize raises the token of every machine at once, rather than at its next report.
 func (o *owned) seize() {
+	if list, err := o.c.cloud.List(o.ctx); err == nil {
+		for _, m := range list {
+			o.c.learn(m.ID, m.Addr)
+		}
+	}
 	o.mu.Lock()
 	type target struct{ id, addr string }
 	var ts []target
 	for _, id := range o.p.MachineIDs() {
-		if e, ok := o.c.cluster.machine(id); ok && e.rec.Addr != "" {
-			ts = append(ts, target{id, e.rec.Addr})
+		if addr := o.c.addr(id); addr != "" {
+			ts = append(ts, target{id, addr})
 		}
 	}
 	o.mu.Unlock()
@@ -297,8 +302,8 @@
 	ids := o.p.Urgent()
 	o.mu.Unlock()
 	for _, id := range ids {
-		if e, ok := o.c.cluster.machine(id); ok && e.rec.Addr != "" {
-			go o.order(id, e.rec.Addr)
+		if addr := o.c.addr(id); addr != "" {
+			go o.order(id, addr)
 		}
 	}
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -271,7 +271,9 @@
 // Report answers a worker.
 func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
 	e, known := c.cluster.machine(r.Machine)
-	if !known {
+	if known {
+		c.learn(r.Machine, r.Addr)
+	} else {
 		return wire.ReportReply{}, "", false
 	}
 	o := c.ownedPart(e.rec.Part)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -48,7 +48,6 @@
 
 // MachineRecord assigns a machine to a part.
 type MachineRecord struct {
-	Addr string `cbor:"addr"`
 	Type string `cbor:"type"`
 	Zone string `cbor:"zone"`
 	Spot bool   `cbor:"spot"`
