--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -71,6 +71,7 @@
 	sums    map[int]core.Summary
 	round   time.Time
 	tried   map[string]time.Time // last call for a recorded rental
+	again   bool                 // size again at once
 }
 
 type refusal struct {
@@ -107,8 +108,8 @@
 			l.readSummaries(ctx)
 		}
 		l.giveBack(ctx)
-		if urgent := l.urgent(); now.Sub(l.round) >= tuning.Seconds(l.c.t.RoundS) || urgent {
-			l.round = now
+		if urgent := l.urgent(); now.Sub(l.round) >= tuning.Seconds(l.c.t.RoundS) || urgent || l.again {
+			l.round, l.again = now, false
 			l.size(ctx)
 		}
 		pause(ctx, 250*time.Millisecond)
@@ -320,6 +321,8 @@
 	}
 	r.until = time.Now().Add(tuning.Seconds(r.wait))
 	l.refused[k] = r
+	// What was refused is asked of the next best kind at once.
+	l.again = true
 }
 
 // giveBack returns machines that their owners have let go, that are lost, or
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -82,7 +82,7 @@
 func Default() Tuning {
 	return Tuning{
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
-		TickS: 0.5, PassGapS: 0.1, RoundS: 10, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
+		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
 		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, FinalCache: 4096,
