--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -33,6 +33,7 @@
 			}
 		}
 	}
+	p.consolidate(now)
 }
 
 type queue struct {
@@ -328,7 +329,7 @@
 	}
 	c += 10 * (1 - m.size.share(m.used))
 	if j.Spot && !m.Rec.Spot {
-		c += 2
+		c += p.t.OrdinaryCostS
 	}
 	return c
 }
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -239,7 +239,8 @@
 	order  []string        // machine names, sorted
 	over   map[string]bool // jobs that ended here, so that a late word of their submission does not revive them
 	// stats for the log line
-	Started, Finished, Requeued, Preempted int
+	Started, Finished, Requeued, Preempted, Moved int
+	consolidated                                  time.Time
 }
 
 // NewPart makes an empty part owned under the given stamp.
