--- a/cmd/ambersill/main.go
+++ b/cmd/ambersill/main.go
@@ -13,6 +13,7 @@
 
 	"ambersill/internal/config"
 	"ambersill/internal/controller"
+	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
 
 	"github.com/spf13/cobra"
@@ -100,5 +101,5 @@
 	debug.SetMemoryLimit(int64(s.Cluster.Limits.RAMMB * 0.6 * (1 << 20)))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return controller.New(s, t).Run(ctx)
+	return controller.New(s, t, transport.TCP{}).Run(ctx)
 }
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -7,11 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 
 	"golang.org/x/time/rate"
@@ -33,20 +33,16 @@
 }
 
 const (
+	connect  = 2 * time.Second
 	timeout  = 10 * time.Second // rentals are slower than reads; a lost one is repeated
 	pageSize = 500              // the most that the cloud lists at once
 )
 
 // New makes a client that stays under rps calls a second.
-func New(addr string, rps float64) *Client {
+func New(n transport.Net, addr string, rps float64) *Client {
 	return &Client{
 		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxConnsPerHost:    4,
-			IdleConnTimeout:    time.Minute,
-			DisableCompression: true,
-		}},
+		http: transport.Client(n, 4, 4, connect),
 		rate: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))),
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"ambersill/internal/core"
 	"ambersill/internal/mesh"
 	"ambersill/internal/store"
+	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 	"ambersill/internal/worker"
@@ -23,6 +24,7 @@
 // Controller is one node.
 type Controller struct {
 	s       *config.Settings
+	net     transport.Net
 	t       tuning.Tuning
 	store   *store.Client
 	cloud   *cloud.Client
@@ -41,20 +43,20 @@
 }
 
 // New makes a controller that has not started yet.
-func New(s *config.Settings, t tuning.Tuning) *Controller {
+func New(s *config.Settings, t tuning.Tuning, n transport.Net) *Controller {
 	st := s.Cluster.State
 	c := &Controller{
-		s: s, t: t, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
+		s: s, t: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
 		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, restPart: map[int]time.Time{},
-		store:   store.New(store.Options{Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
-		cloud:   cloud.New(s.Outside.Cloud, s.Cluster.Cloud.RPS),
-		workers: worker.New(tuning.Seconds(s.Cluster.Workers.ReportS)),
+		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
+		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
+		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
 	}
 	if c.parts == 0 {
 		c.parts = s.Cluster.Count
 	}
 	for _, m := range s.Members {
-		c.peers[m.Node] = &mesh.Peer{Member: m}
+		c.peers[m.Node] = &mesh.Peer{Member: m, Net: n}
 	}
 	c.cluster.onChange = c.machineChanged
 	c.cluster.onOwner = c.ownerChanged
@@ -79,7 +81,7 @@
 	}
 	slog.Info("starting", "node", c.s.Node, "parts", c.parts)
 	duty("users and workers", c.serve)
-	duty("mesh", func(ctx context.Context) error { return mesh.Serve(ctx, c.s.MeshAddr, c) })
+	duty("mesh", func(ctx context.Context) error { return mesh.Serve(ctx, c.net, c.s.MeshAddr, c) })
 	duty("cluster watch", func(ctx context.Context) error {
 		follow(ctx, c.store, clusterPrefix, c.cluster.reset, func(e wire.Event) {
 			if e.Delete != "" {
--- /dev/null
+++ b/internal/controller/day_test.go
@@ -0,0 +1,331 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/standin"
+	"ambersill/internal/transport"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// day is a cluster of real controllers on stand-ins, in virtual time.
+type day struct {
+	t      *testing.T
+	rnd    *rand.Rand
+	ctx    context.Context
+	fabric *standin.Fabric
+	state  *standin.State
+	cloud  *standin.Cloud
+	world  *standin.World
+	tune   tuning.Tuning
+	nodes  []standin.Node
+	mu     sync.Mutex
+	up     map[int]func() // crashes the node
+	wg     sync.WaitGroup
+	ended  map[string]wire.Phase
+}
+
+var dayTypes = []wire.MachineType{
+	{Name: "small", CPUs: 8, RAM: 32, CacheGB: 50, FetchRate: 1, Price: 1, SpotPrice: 0.4, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "big", CPUs: 16, GPUs: 4, RAM: 128, CacheGB: 50, FetchRate: 1, Price: 8, SpotPrice: 3, BootS: 30, Zones: []string{"a", "b"}},
+}
+
+func newDay(t *testing.T, ctx context.Context, seed uint64) *day {
+	d := &day{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, fabric: standin.NewFabric(), state: standin.NewState(),
+		up: map[int]func(){}, ended: map[string]wire.Phase{}, tune: tuning.Default()}
+	for i := range 3 {
+		d.nodes = append(d.nodes, standin.Node{Name: fmt.Sprintf("node-%d", i), Addr: fmt.Sprintf("10.0.0.%d:8080", i+1)})
+	}
+	types := map[string]wire.MachineType{}
+	for _, x := range dayTypes {
+		types[x.Name] = x
+	}
+	d.world = &standin.World{Ctx: ctx, Net: d.fabric.Host("workers"), Nodes: d.nodes, Types: types, Teams: d.settings(0).Cluster.Teams,
+		Report: 2 * time.Second, Lease: 14 * time.Second, GangWait: 35 * time.Second, GangPeer: 5 * time.Second, Cancelled: 44 * time.Second}
+	d.world.Init()
+	d.cloud = &standin.Cloud{Types: dayTypes, Lag: 4 * time.Second, Boot: d.world.Start, Rand: d.rnd,
+		BootTime: func(x wire.MachineType) time.Duration { return time.Duration(x.BootS) * time.Second }}
+	for _, x := range dayTypes {
+		for _, z := range x.Zones {
+			for _, spot := range []bool{true, false} {
+				d.cloud.Capacity = append(d.cloud.Capacity, standin.Capacity{Type: x.Name, Zone: z, Spot: spot, Count: 4})
+			}
+		}
+	}
+	d.serve("state", "10.2.0.1:1", d.state.Handler())
+	d.serve("cloud", "10.2.0.2:1", d.cloud.Handler())
+	return d
+}
+
+// serve runs a stand-in on a host of its own.
+func (d *day) serve(name, addr string, h http.Handler) {
+	host := d.fabric.Host(name)
+	l, err := host.Listen(d.ctx, addr)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	context.AfterFunc(d.ctx, func() { srv.Close(); host.Off() })
+	go func() { _ = srv.Serve(l) }()
+}
+
+func (d *day) settings(i int) *config.Settings {
+	s := &config.Settings{Node: d.nodes[i].Name, Zone: "a", PublicAddr: d.nodes[i].Addr, MeshAddr: fmt.Sprintf("10.0.0.%d:8081", i+1)}
+	for k, n := range d.nodes {
+		if k != i {
+			s.Members = append(s.Members, config.Member{Node: n.Name, Zone: "a", Addr: fmt.Sprintf("10.0.0.%d:8081", k+1)})
+		}
+	}
+	s.Outside.State, s.Outside.Cloud = "10.2.0.1:1", "10.2.0.2:1"
+	c := &s.Cluster
+	c.Count, c.Zones = 3, []string{"a", "b"}
+	c.Teams = []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", CPUsMax: 40}, {Name: "free"}}
+	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.GangWaitS, c.Workers.GangPeerS, c.Workers.CancelS = 2, 14, 35, 5, 44
+	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 150, 50, 8, 12
+	c.Cloud.RPS, c.Cloud.ListLagS = 5, 4
+	c.Limits.RAMMB, c.Limits.MaxSockets = 100, 700
+	return s
+}
+
+// start runs a controller until it crashes or the day ends.
+func (d *day) start(i int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.up[i] != nil || d.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	host := d.fabric.Host(d.nodes[i].Name)
+	c := New(d.settings(i), d.tune, host)
+	over := make(chan struct{})
+	var crashed atomic.Bool
+	d.up[i] = func() {
+		crashed.Store(true)
+		host.Off() // without a word, as a killed process ends
+		cancel()
+		<-over
+	}
+	go func() {
+		defer close(over)
+		if err := c.Run(ctx); err != nil && !crashed.Load() {
+			d.t.Errorf("controller %d ended by itself: %v", i, err)
+		}
+	}()
+	context.AfterFunc(ctx, host.Off)
+}
+
+func (d *day) crash(i int) {
+	d.mu.Lock()
+	f := d.up[i]
+	d.up[i] = nil
+	d.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// submit has a user follow a job.
+func (d *day) submit(j *wire.Job, cancelAfter time.Duration) {
+	seed := d.rnd.Uint64()
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	u := &standin.User{World: d.world, Net: d.fabric.Host("user-" + j.ID), CancelAfter: cancelAfter,
+		Pick: func() standin.Node { return d.nodes[rnd.IntN(len(d.nodes))] }}
+	d.wg.Go(func() {
+		p := u.Follow(d.ctx, j)
+		d.mu.Lock()
+		d.ended[j.ID] = p
+		d.mu.Unlock()
+	})
+}
+
+// jobs submits n random jobs over a while.
+func (d *day) jobs(first, n int, over time.Duration) {
+	for i := range n {
+		j := &wire.Job{ID: fmt.Sprintf("req-%06d", first+i), Class: "c", Team: []string{"red", "blue", "free"}[d.rnd.IntN(3)], Shape: wire.Array,
+			Rank: []wire.Rank{"idle", "standard", "urgent"}[d.rnd.IntN(3)], Tasks: 1 + d.rnd.IntN(12), CPUs: 1 + float64(d.rnd.IntN(4)), RAM: 4,
+			Image: fmt.Sprintf("img-%d", d.rnd.IntN(4)), ImageGB: 1, Estimate: 5 + 30*d.rnd.Float64(), Spot: d.rnd.IntN(2) == 0}
+		if d.rnd.IntN(2) == 0 {
+			j.Checkpoint, j.Save = 20, 2
+		}
+		if j.Team == "red" || d.rnd.IntN(4) == 0 {
+			j.GPUs = 1
+			j.Tasks = min(j.Tasks, 6)
+		}
+		if d.rnd.IntN(3) == 0 {
+			j.Shape, j.Tasks = wire.Gang, 1+d.rnd.IntN(4)
+			j.OneZone = d.rnd.IntN(2) == 0
+		}
+		if !j.OneZone && d.rnd.IntN(5) == 0 {
+			j.Spread = true
+		}
+		cancel := time.Duration(0)
+		if d.rnd.IntN(6) == 0 {
+			cancel = time.Duration(5+d.rnd.IntN(40)) * time.Second
+		}
+		time.Sleep(over / time.Duration(n))
+		d.submit(j, cancel)
+	}
+}
+
+// finish waits until all users know their jobs' ends, and checks the rules.
+func (d *day) finish(limit time.Duration) {
+	over := make(chan struct{})
+	go func() { d.wg.Wait(); close(over) }()
+	select {
+	case <-over:
+	case <-time.After(limit):
+		d.t.Errorf("jobs still under way after %v", limit)
+	}
+	for _, b := range d.world.Broken() {
+		d.t.Errorf("broken rule: %s", b)
+	}
+	if d.world.Starts() == 0 {
+		d.t.Error("nothing ran")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.ended {
+		if p == "" {
+			d.t.Errorf("%s has no end", id)
+		}
+	}
+}
+
+// troubles strikes with random troubles until the time is over.
+func (d *day) troubles(over time.Duration) {
+	end := time.Now().Add(over)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(5+d.rnd.IntN(15)) * time.Second)
+		ws := d.cloud.Workers()
+		switch k := d.rnd.IntN(8); {
+		case k == 0: // a crash, and a restart that may be quick
+			i := d.rnd.IntN(3)
+			d.crash(i)
+			time.Sleep(time.Duration(200+d.rnd.IntN(4000)) * time.Millisecond)
+			d.start(i)
+		case k == 1: // all crash
+			for i := range 3 {
+				d.crash(i)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range 3 {
+				d.start(i)
+			}
+		case k == 2: // an outage
+			d.state.SetDown(true)
+			time.Sleep(time.Duration(3+d.rnd.IntN(20)) * time.Second)
+			d.state.SetDown(false)
+		case k == 3 && len(ws) > 0: // a machine hangs
+			ws[d.rnd.IntN(len(ws))].Hang(time.Duration(2+d.rnd.IntN(30)) * time.Second)
+		case k == 4 && len(ws) > 0: // a spot machine is taken
+			for _, w := range ws {
+				if w.M.Spot {
+					d.cloud.Take(w.M.ID)
+					break
+				}
+			}
+		case k == 5 && len(ws) > 0: // a notice
+			for _, w := range ws {
+				if w.M.Spot {
+					w.Warn(8 * time.Second)
+					time.AfterFunc(8*time.Second, func() { d.cloud.Take(w.M.ID) })
+					break
+				}
+			}
+		case k == 6: // a controller loses the state service
+			n := d.nodes[d.rnd.IntN(3)].Name
+			d.fabric.Cut(n, "state", true)
+			time.Sleep(time.Duration(4+d.rnd.IntN(40)) * time.Second)
+			d.fabric.Cut(n, "state", false)
+		case k == 7: // a controller loses the workers
+			n := d.nodes[d.rnd.IntN(3)].Name
+			d.fabric.Cut(n, "workers", true)
+			time.Sleep(time.Duration(4+d.rnd.IntN(20)) * time.Second)
+			d.fabric.Cut(n, "workers", false)
+		}
+	}
+}
+
+// loseSome lets some commits, rentals and returns go unanswered or late.
+func (d *day) loseSome() {
+	rnd := rand.New(rand.NewPCG(d.rnd.Uint64(), 3))
+	var mu sync.Mutex
+	pick := func(share float64) (standin.Fault, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if rnd.Float64() > share {
+			return standin.NoFault, 0
+		}
+		return []standin.Fault{standin.LostReply, standin.Late, standin.Refuse}[rnd.IntN(3)], time.Duration(rnd.IntN(60)) * time.Second
+	}
+	d.state.Faults = func(*wire.Txn) (standin.Fault, time.Duration) { return pick(0.03) }
+	d.cloud.Faults = func() (standin.Fault, time.Duration) { return pick(0.2) }
+}
+
+// play runs a day in virtual time.
+func play(t *testing.T, seed uint64, parts int, f func(d *day)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDay(t, ctx, seed)
+		d.tune.Parts = parts
+		for i := range 3 {
+			d.start(i)
+		}
+		f(d)
+		cancel()
+		d.wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestQuietDay(t *testing.T) {
+	play(t, 1, 1, func(d *day) {
+		d.jobs(0, 20, 2*time.Minute)
+		d.finish(15 * time.Minute)
+	})
+}
+
+func TestRoughDays(t *testing.T) {
+	seeds := 6
+	if n, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		seeds = n
+	}
+	if testing.Short() {
+		seeds = 2
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, uint64(100+seed), seed%4, func(d *day) { // 0 parts: one for each controller
+				d.loseSome()
+				go d.troubles(4 * time.Minute)
+				d.jobs(0, 40, 4*time.Minute)
+				time.Sleep(time.Minute)
+				d.state.Faults, d.cloud.Faults = nil, nil
+				d.finish(40 * time.Minute)
+			})
+		})
+	}
+}
+
+var _ transport.Net = (*standin.Host)(nil)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	if os.Getenv("LOG_LEVEL") == "debug" {
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	}
+	os.Exit(m.Run())
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -20,7 +19,7 @@
 
 // serve answers users and workers until the context ends.
 func (c *Controller) serve(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.s.PublicAddr)
+	l, err := c.net.Listen(ctx, c.s.PublicAddr)
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"ambersill/internal/config"
+	"ambersill/internal/transport"
+
 	"golang.org/x/net/netutil"
 )
 
@@ -61,12 +63,12 @@
 const maxPeers = 32
 
 // Serve answers other nodes until the context ends.
-func Serve(ctx context.Context, addr string, h Handler) error {
+func Serve(ctx context.Context, n transport.Net, addr string, h Handler) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Mesh", &Service{h}); err != nil {
 		return err
 	}
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	l, err := n.Listen(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -85,15 +87,19 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		go srv.ServeConn(c)
+		go func() {
+			defer context.AfterFunc(ctx, func() { c.Close() })()
+			srv.ServeConn(c)
+		}()
 	}
 }
 
 // Peer is a connection to another node, made when needed.
 type Peer struct {
 	config.Member
-	mu sync.Mutex
-	c  *rpc.Client
+	Net transport.Net
+	mu  sync.Mutex
+	c   *rpc.Client
 }
 
 var errTimeout = errors.New("mesh: no answer in time")
@@ -104,7 +110,9 @@
 	c := p.c
 	p.mu.Unlock()
 	if c == nil {
-		conn, err := net.DialTimeout("tcp", p.Addr, limit)
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		conn, err := p.Net.Dial(ctx, p.Addr)
+		cancel()
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,263 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"ambersill/internal/wire"
+)
+
+// Capacity is how many machines of a kind there are.
+type Capacity struct {
+	Type, Zone string
+	Spot       bool
+	Count      int
+}
+
+type rented struct {
+	m      wire.CloudMachine
+	asked  time.Time
+	worker *Worker
+}
+
+// Cloud is a stand-in for the cloud. Its machines run Workers.
+type Cloud struct {
+	Types    []wire.MachineType
+	Capacity []Capacity
+	Lag      time.Duration
+	// Faults, if set, decides on each rental and return.
+	Faults func() (Fault, time.Duration)
+	// Boot starts a machine's worker once it is up.
+	Boot func(m wire.CloudMachine) *Worker
+	// BootTime of one machine; 0: it never comes up.
+	BootTime func(t wire.MachineType) time.Duration
+	Rand     *rand.Rand
+
+	mu       sync.Mutex
+	next     int
+	machines map[string]*rented
+	hires    map[string][]string
+	shots    []shot
+}
+
+// shot is the list as it was at a time; the cloud shows an old one.
+type shot struct {
+	at   time.Time
+	list []wire.CloudMachine
+}
+
+// Handler serves the protocol.
+func (c *Cloud) Handler() http.Handler {
+	c.mu.Lock()
+	if c.machines == nil {
+		c.machines, c.hires = map[string]*rented{}, map[string][]string{}
+	}
+	c.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, wire.Catalog{Types: c.Types})
+	})
+	mux.HandleFunc("POST /hosts", c.rent)
+	mux.HandleFunc("POST /hosts/return", c.giveBack)
+	mux.HandleFunc("GET /hosts", c.list)
+	return mux
+}
+
+func (c *Cloud) fault() (Fault, time.Duration) {
+	if c.Faults == nil {
+		return NoFault, 0
+	}
+	return c.Faults()
+}
+
+func (c *Cloud) rent(w http.ResponseWriter, r *http.Request) {
+	var q wire.RentRequest
+	if !read(w, r, &q) {
+		return
+	}
+	if q.Request == "" || q.Count < 1 || q.Count > 50 {
+		reply(w, http.StatusBadRequest, wire.Problem{Error: "malformed"})
+		return
+	}
+	f, wait := c.fault()
+	switch f {
+	case Refuse:
+		reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
+	case Late:
+		time.AfterFunc(wait, func() { c.doRent(q) })
+		panic(http.ErrAbortHandler)
+	default:
+		ids := c.doRent(q)
+		if f == LostReply {
+			panic(http.ErrAbortHandler)
+		}
+		if ids == nil {
+			reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
+			return
+		}
+		reply(w, http.StatusOK, wire.MachineNames{Machines: ids})
+	}
+}
+
+func (c *Cloud) doRent(q wire.RentRequest) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ids, ok := c.hires[q.Request]; ok {
+		return ids
+	}
+	free := 0
+	for _, k := range c.Capacity {
+		if k.Type == q.Type && k.Zone == q.Zone && k.Spot == q.Spot {
+			free += k.Count
+		}
+	}
+	for _, m := range c.machines {
+		if m.m.Type == q.Type && m.m.Zone == q.Zone && m.m.Spot == q.Spot && m.m.State != wire.Failed {
+			free--
+		}
+	}
+	n := min(q.Count, free)
+	if n <= 0 {
+		return nil
+	}
+	var ids []string
+	for range n {
+		id := c.add(q.Type, q.Zone, q.Spot)
+		ids = append(ids, id)
+	}
+	c.hires[q.Request] = ids
+	return ids
+}
+
+// add rents one machine; mu must be held.
+func (c *Cloud) add(typ, zone string, spot bool) string {
+	id := fmt.Sprintf("m-%06d", c.next)
+	m := &rented{asked: time.Now(), m: wire.CloudMachine{ID: id, Addr: fmt.Sprintf("127.0.0.1:%d", 20000+c.next),
+		Type: typ, Zone: zone, Spot: spot, State: wire.Booting}}
+	c.next++
+	c.machines[id] = m
+	for _, t := range c.Types {
+		if t.Name != typ {
+			continue
+		}
+		if d := c.BootTime(t); d > 0 {
+			time.AfterFunc(d, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if c.machines[id] == m {
+					m.m.State = wire.Up
+					m.worker = c.Boot(m.m)
+				}
+			})
+		}
+	}
+	return id
+}
+
+// Add has a machine there from the start.
+func (c *Cloud) Add(typ, zone string, spot bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.add(typ, zone, spot)
+}
+
+func (c *Cloud) giveBack(w http.ResponseWriter, r *http.Request) {
+	var q wire.MachineNames
+	if !read(w, r, &q) {
+		return
+	}
+	f, wait := c.fault()
+	switch f {
+	case Refuse:
+		reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
+	case Late:
+		time.AfterFunc(wait, func() { c.remove(q.Machines) })
+		panic(http.ErrAbortHandler)
+	default:
+		c.remove(q.Machines)
+		if f == LostReply {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, http.StatusOK, map[string]bool{})
+	}
+}
+
+func (c *Cloud) remove(ids []string) {
+	c.mu.Lock()
+	var workers []*Worker
+	for _, id := range ids {
+		if m := c.machines[id]; m != nil {
+			workers = append(workers, m.worker)
+			delete(c.machines, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, w := range workers {
+		if w != nil {
+			w.Kill()
+		}
+	}
+}
+
+// Take removes a machine without notice, as the cloud does with spot machines.
+func (c *Cloud) Take(id string) { c.remove([]string{id}) }
+
+// Workers lists the machines that are up, by name.
+func (c *Cloud) Workers() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Worker
+	for _, m := range c.machines {
+		if m.worker != nil {
+			out = append(out, m.worker)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].M.ID < out[b].M.ID })
+	return out
+}
+
+func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	now := time.Now()
+	var cur []wire.CloudMachine
+	for _, m := range c.machines {
+		x := m.m
+		x.Age = now.Sub(m.asked).Seconds()
+		cur = append(cur, x)
+	}
+	sort.Slice(cur, func(a, b int) bool { return cur[a].ID < cur[b].ID })
+	c.shots = append(c.shots, shot{now, cur})
+	// The list shown is the newest one that is at least Lag old, so it can be
+	// as old as the reader is slow.
+	show := []wire.CloudMachine{}
+	keep := 0
+	for i, s := range c.shots {
+		if now.Sub(s.at) >= c.Lag {
+			show, keep = s.list, i
+		}
+	}
+	c.shots = c.shots[keep:]
+	c.mu.Unlock()
+	since := r.URL.Query().Get("since")
+	most, err := strconv.Atoi(r.URL.Query().Get("most"))
+	if err != nil || most < 1 || most > 500 {
+		most = 500
+	}
+	p := wire.MachinePage{Machines: []wire.CloudMachine{}}
+	for _, m := range show {
+		if m.ID <= since {
+			continue
+		}
+		if len(p.Machines) == most {
+			p.More = true
+			break
+		}
+		p.Machines = append(p.Machines, m)
+	}
+	reply(w, http.StatusOK, p)
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,401 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"ambersill/internal/wire"
+)
+
+// task is an attempt at a task on a machine.
+type task struct {
+	name  string
+	job   *wire.Job
+	index int
+	try   uint64
+	state wire.TaskState
+	cause wire.Cause
+	saved bool
+	timer *time.Timer
+}
+
+// on tells whether the task counts as being on its machine.
+func (t *task) on() bool {
+	return t.state == wire.WaitingGang || t.state == wire.RunningTask || t.state == wire.Saving
+}
+
+// Worker is a stand-in for the worker of one machine. All workers of a world
+// share its lock, which keeps gangs and the model simple.
+type Worker struct {
+	M     wire.CloudMachine
+	world *World
+	typ   wire.MachineType
+
+	tasks   map[string]*task // by task name; one attempt at a time, others are refused
+	refused []*task
+	images  map[string]bool
+	session uint64
+	seq     uint64
+	token   uint64
+	lease   time.Time // when the last answered report was sent
+	notice  *float64
+	dead    bool
+	hung    bool
+	resume  chan struct{}
+	faulty  bool
+	changed chan struct{}
+	node    int
+	cancel  context.CancelFunc
+}
+
+// Start begins a machine's worker.
+func (w *World) Start(m wire.CloudMachine) *Worker {
+	ctx, cancel := context.WithCancel(w.Ctx)
+	k := &Worker{M: m, world: w, typ: w.Types[m.Type], tasks: map[string]*task{}, images: map[string]bool{}, session: 1,
+		lease: time.Now(), resume: make(chan struct{}), changed: make(chan struct{}, 1), cancel: cancel}
+	go k.run(ctx)
+	go k.listen(ctx)
+	return k
+}
+
+// Kill ends the machine: it and all that is on it are gone.
+func (k *Worker) Kill() {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	k.dead = true
+	k.cancel()
+	k.dropAll()
+}
+
+// Hang stops the machine for a while; it goes on where it was.
+func (k *Worker) Hang(d time.Duration) {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	if k.hung || k.dead {
+		return
+	}
+	k.hung = true
+	time.AfterFunc(d, func() {
+		k.world.mu.Lock()
+		defer k.world.mu.Unlock()
+		k.hung = false
+		k.checkLease()
+		close(k.resume)
+		k.resume = make(chan struct{})
+		for _, t := range k.tasks {
+			if t.timer != nil {
+				t.timer.Reset(time.Millisecond)
+			}
+		}
+	})
+}
+
+// Fail makes every task fail that starts here.
+func (k *Worker) Fail(on bool) {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	k.faulty = on
+}
+
+// Warn gives notice that the machine is taken away after d.
+func (k *Worker) Warn(d time.Duration) {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	s := d.Seconds()
+	k.notice = &s
+	k.poke()
+}
+
+func (k *Worker) poke() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// dropAll forgets all tasks; the world's lock must be held.
+func (k *Worker) dropAll() {
+	for _, t := range k.tasks {
+		if t.timer != nil {
+			t.timer.Stop()
+		}
+		k.world.off(k, t)
+	}
+	k.tasks = map[string]*task{}
+	k.refused = nil
+}
+
+// checkLease ends the session once the lease has run out. A hanging machine's
+// tasks end with it too: it kills them before it does anything else.
+func (k *Worker) checkLease() {
+	if k.dead || time.Since(k.lease) <= k.world.Lease {
+		return
+	}
+	k.dropAll()
+	k.session++
+	k.lease = time.Now()
+	k.poke()
+}
+
+func (k *Worker) report() wire.Report {
+	k.seq++
+	r := wire.Report{Machine: k.M.ID, Addr: k.M.Addr, Type: k.M.Type, Zone: k.M.Zone, Spot: k.M.Spot, Session: k.session,
+		Seq: k.seq, Token: k.token, Notice: k.notice, Tasks: []wire.TaskReport{}}
+	for _, t := range k.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.try, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	for _, t := range k.refused {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.try, State: wire.Exited, Cause: t.cause})
+	}
+	sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Task < r.Tasks[b].Task })
+	return r
+}
+
+// run reports until the machine ends.
+func (k *Worker) run(ctx context.Context) {
+	cl := k.world.client()
+	for ctx.Err() == nil {
+		k.world.mu.Lock()
+		k.checkLease()
+		resume, hung := k.resume, k.hung
+		rep := k.report()
+		sent := time.Now()
+		node := k.world.Nodes[k.node%len(k.world.Nodes)]
+		k.world.mu.Unlock()
+		if hung {
+			select {
+			case <-ctx.Done():
+				return
+			case <-resume:
+			}
+			continue
+		}
+		next := time.Second
+		var ans wire.ReportReply
+		var redirect wire.Redirect
+		status := k.post(ctx, cl, "http://"+node.Addr+"/agent/beat", rep, &ans, &redirect)
+		k.world.mu.Lock()
+		switch {
+		case k.hung:
+			// What came meanwhile waits; the answer is too old when it goes on.
+		case status == http.StatusOK:
+			next = k.world.Report * 3 / 4
+			if rep.Session == k.session && ans.Token >= k.token && time.Since(sent) <= 4*time.Second {
+				if ans.Token > k.token {
+					k.poke()
+				}
+				k.token = ans.Token
+				k.lease = sent
+				k.execute(ans.Commands)
+			}
+		case status == http.StatusMisdirectedRequest && k.world.node(redirect.Node) >= 0 && k.world.node(redirect.Node) != k.node%len(k.world.Nodes):
+			k.node = k.world.node(redirect.Node)
+			next = 100 * time.Millisecond
+		default:
+			k.node++
+		}
+		k.world.mu.Unlock()
+		t := time.NewTimer(next)
+		least := time.NewTimer(min(next, 500*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-k.changed:
+			select {
+			case <-least.C:
+			case <-ctx.Done():
+			}
+		}
+		t.Stop()
+		least.Stop()
+	}
+}
+
+func (k *Worker) post(ctx context.Context, cl *http.Client, url string, body, ok, redirect any) int {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	b, err := wire.Marshal(body)
+	if err != nil {
+		return 0
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return 0
+	}
+	resp, err := cl.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		err = wire.ReadReply(resp.Body, ok)
+	case http.StatusMisdirectedRequest:
+		err = wire.ReadReply(resp.Body, redirect)
+	}
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// listen takes orders.
+func (k *Worker) listen(ctx context.Context) {
+	l, err := k.world.Net.Listen(ctx, k.M.Addr)
+	if err != nil {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
+		var o wire.Orders
+		if !read(w, r, &o) {
+			return
+		}
+		k.world.mu.Lock()
+		for k.hung {
+			// A hanging machine carries the order out when it goes on.
+			resume := k.resume
+			k.world.mu.Unlock()
+			select {
+			case <-resume:
+			case <-ctx.Done():
+				return
+			}
+			k.world.mu.Lock()
+		}
+		defer k.world.mu.Unlock()
+		if k.dead {
+			return
+		}
+		k.checkLease()
+		status := http.StatusOK
+		if o.Token < k.token || o.Session != k.session {
+			status = http.StatusConflict
+		} else {
+			if o.Token > k.token {
+				k.poke()
+			}
+			k.token = o.Token
+			k.execute(o.Commands)
+		}
+		reply(w, status, k.report())
+	})
+	srv := &http.Server{Handler: mux}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	_ = srv.Serve(l)
+}
+
+// execute carries commands out; the world's lock must be held.
+func (k *Worker) execute(cs []wire.Command) {
+	for _, c := range cs {
+		t := k.tasks[c.Task]
+		switch c.Op {
+		case wire.Start:
+			k.start(c)
+		case wire.Stop:
+			if t != nil && t.try == c.Attempt && t.state != wire.Exited {
+				k.stop(t, c.Grace)
+			}
+		case wire.Forget:
+			if t != nil && t.try == c.Attempt && t.state == wire.Exited {
+				delete(k.tasks, c.Task)
+			}
+			for i, r := range k.refused {
+				if r.name == c.Task && r.try == c.Attempt {
+					k.refused = append(k.refused[:i:i], k.refused[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+	k.poke()
+}
+
+func (k *Worker) start(c wire.Command) {
+	for _, r := range k.refused {
+		if r.name == c.Task && r.try == c.Attempt {
+			return
+		}
+	}
+	old := k.tasks[c.Task]
+	if old != nil && old.try == c.Attempt {
+		return
+	}
+	id, index, _ := wire.SplitTask(c.Task)
+	j := k.world.jobs[id]
+	refuse := func(why wire.Cause) {
+		k.refused = append(k.refused, &task{name: c.Task, try: c.Attempt, cause: why})
+	}
+	if j == nil || index >= j.Tasks {
+		refuse(wire.CauseUnknown)
+		return
+	}
+	if old != nil {
+		if old.state != wire.Exited {
+			refuse(wire.CauseBusy)
+			return
+		}
+		delete(k.tasks, c.Task)
+	}
+	cpus, gpus, ram := j.CPUs, j.GPUs, j.RAM
+	for _, t := range k.tasks {
+		if t.state != wire.Exited {
+			cpus, gpus, ram = cpus+t.job.CPUs, gpus+t.job.GPUs, ram+t.job.RAM
+		}
+	}
+	if cpus > k.typ.CPUs+1e-6 || gpus > k.typ.GPUs+1e-6 || ram > k.typ.RAM+1e-6 {
+		refuse(wire.CauseNoRoom)
+		return
+	}
+	t := &task{name: c.Task, job: j, index: index, try: c.Attempt, state: wire.Fetching}
+	k.tasks[c.Task] = t
+	wait := time.Millisecond
+	if !k.images[j.Image] {
+		wait = time.Duration(j.ImageGB / k.typ.FetchRate * float64(time.Second))
+	}
+	k.after(t, wait, func() {
+		k.images[j.Image] = true
+		k.world.begin(k, t)
+	})
+}
+
+// after runs f for a task after a while, unless it has exited; a hanging
+// machine's timers wait until it goes on.
+func (k *Worker) after(t *task, d time.Duration, f func()) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.timer = time.AfterFunc(d, func() {
+		k.world.mu.Lock()
+		defer k.world.mu.Unlock()
+		if k.dead || k.hung || k.tasks[t.name] != t || t.state == wire.Exited {
+			return
+		}
+		f()
+		k.poke()
+	})
+}
+
+func (k *Worker) exit(t *task, why wire.Cause, saved bool) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	k.world.off(k, t)
+	t.state, t.cause, t.saved = wire.Exited, why, saved
+	k.poke()
+}
+
+func (k *Worker) stop(t *task, grace float64) {
+	if t.state == wire.RunningTask && t.job.Checkpoint > 0 && grace >= t.job.Save && t.job.Save > 0 {
+		t.state = wire.Saving
+		k.after(t, time.Duration(t.job.Save*float64(time.Second)), func() { k.exit(t, wire.CauseStopped, true) })
+		return
+	}
+	if t.state == wire.Saving && grace > 0 {
+		return
+	}
+	k.exit(t, wire.CauseStopped, false)
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,290 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/transport"
+	"ambersill/internal/wire"
+)
+
+// Node is a controller's public address.
+type Node struct{ Name, Addr string }
+
+// World joins the workers, and is the slow plain model of the rules: it sees
+// every task come and go, knows what users were told, and notes what is broken.
+type World struct {
+	Ctx       context.Context
+	Net       transport.Net
+	Nodes     []Node
+	Types     map[string]wire.MachineType
+	Teams     []config.Team
+	Report    time.Duration
+	Lease     time.Duration
+	GangWait  time.Duration
+	GangPeer  time.Duration
+	Cancelled time.Duration // cancel_s
+	// RunTime of a task; nil: its estimate.
+	RunTime func(j *wire.Job) time.Duration
+
+	mu     sync.Mutex
+	jobs   map[string]*wire.Job
+	on     map[string]map[*Worker]*task // tasks on machines, by name
+	done   map[string]bool
+	told   map[string]wire.Phase
+	asked  map[string]bool      // cancellations that users have asked for
+	since  map[string]time.Time // when a cancellation was told
+	broken []string
+	starts int
+}
+
+// Init prepares the model.
+func (w *World) Init() {
+	w.jobs, w.on, w.done = map[string]*wire.Job{}, map[string]map[*Worker]*task{}, map[string]bool{}
+	w.told, w.asked, w.since = map[string]wire.Phase{}, map[string]bool{}, map[string]time.Time{}
+}
+
+func (w *World) client() *http.Client { return transport.Client(w.Net, 1, 2, time.Second) }
+
+func (w *World) node(name string) int {
+	for i, n := range w.Nodes {
+		if n.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *World) breaks(rule, format string, args ...any) {
+	w.broken = append(w.broken, time.Now().Format("15:04:05.000 ")+rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Broken lists the broken rules, Starts counts the tasks started.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sweep()
+	return append([]string(nil), w.broken...)
+}
+
+// Starts counts the tasks started.
+func (w *World) Starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
+// Submitted uploads a job's description, which users do before they submit it.
+func (w *World) Submitted(j *wire.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[j.ID] = j
+}
+
+// Asked notes that a user asks for a cancellation.
+func (w *World) Asked(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked[id] = true
+}
+
+// Told notes what a user was told of a job.
+func (w *World) Told(id string, phase wire.Phase) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[id]
+	if j == nil {
+		w.breaks("invented", "%s is called %s", id, phase)
+		return
+	}
+	was := w.told[id]
+	if was.Final() && was != phase {
+		w.breaks("went_back", "%s was called %s, then %s", id, was, phase)
+	}
+	if phase == wire.Cancelled && !w.asked[id] {
+		w.breaks("went_back", "%s is called cancelled, but nobody asked", id)
+	}
+	if phase == wire.Done {
+		for i := range j.Tasks {
+			if !w.done[wire.TaskName(id, i)] {
+				w.breaks("not_done", "%s is called done before task %d is", id, i)
+				break
+			}
+		}
+	}
+	if phase == wire.Cancelled && was != phase {
+		w.since[id] = time.Now()
+	}
+	w.told[id] = phase
+}
+
+// Missing notes that an accepted job got an answer as if it were not known.
+func (w *World) Missing(id string, status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.told[id] != "" {
+		w.breaks("forgotten", "%s was accepted and is answered %d", id, status)
+	}
+}
+
+// sweep looks for tasks of jobs cancelled too long ago.
+func (w *World) sweep() {
+	for name := range w.on {
+		id, _, _ := wire.SplitTask(name)
+		if at, ok := w.since[id]; ok && time.Since(at) > w.Cancelled {
+			w.breaks("ran_cancelled", "%s is on a machine %v after its cancellation", name, time.Since(at))
+		}
+	}
+}
+
+// begin puts a task on its machine: its image is there.
+func (w *World) begin(k *Worker, t *task) {
+	w.sweep()
+	j := t.job
+	w.starts++
+	for o := range w.on[t.name] {
+		o.checkLease()
+	}
+	if len(w.on[t.name]) > 0 {
+		w.breaks("ran_twice", "%s attempt %d starts on %s while it is on another machine", t.name, t.try, k.M.ID)
+	}
+	if at, ok := w.since[j.ID]; ok && time.Since(at) > w.Cancelled {
+		w.breaks("ran_cancelled", "%s starts %v after its cancellation", t.name, time.Since(at))
+	}
+	w.place(k, j)
+	if w.on[t.name] == nil {
+		w.on[t.name] = map[*Worker]*task{}
+	}
+	w.on[t.name][k] = t
+	t.state = wire.WaitingGang
+	w.quota(j.Team)
+	switch {
+	case w.done[t.name]:
+		k.exit(t, wire.CauseDone, false)
+	case k.faulty:
+		t.state = wire.RunningTask
+		k.after(t, time.Second, func() { k.exit(t, wire.CauseError, false) })
+	case j.Shape == wire.Gang:
+		w.gather(k, t)
+	default:
+		t.state = wire.RunningTask
+		k.after(t, w.runTime(j), func() {
+			w.done[t.name] = true
+			k.exit(t, wire.CauseDone, false)
+		})
+	}
+}
+
+func (w *World) runTime(j *wire.Job) time.Duration {
+	if w.RunTime != nil {
+		return w.RunTime(j)
+	}
+	return time.Duration(j.Estimate * float64(time.Second))
+}
+
+// place checks type, zone and kind of a start against the job's tasks on machines.
+func (w *World) place(k *Worker, j *wire.Job) {
+	ok := len(j.Types) == 0
+	for _, t := range j.Types {
+		ok = ok || t == k.M.Type
+	}
+	if !ok || (j.Zone != "" && j.Zone != k.M.Zone) || (k.M.Spot && !j.Spot) {
+		w.breaks("wrong_place", "%s on %s", j.ID, k.M.ID)
+	}
+	same := 1
+	for i := range j.Tasks {
+		for o := range w.on[wire.TaskName(j.ID, i)] {
+			if o.M.Zone == k.M.Zone {
+				same++
+			} else if j.OneZone {
+				w.breaks("wrong_place", "%s has tasks in two zones", j.ID)
+			}
+		}
+	}
+	if j.Spread && same > (j.Tasks+1)/2 {
+		w.breaks("wrong_place", "%s has %d tasks in one zone", j.ID, same)
+	}
+}
+
+func (w *World) quota(team string) {
+	var cpus, gpus float64
+	for _, ks := range w.on {
+		for _, t := range ks {
+			if t.job.Team == team {
+				cpus += t.job.CPUs
+				gpus += t.job.GPUs
+			}
+		}
+	}
+	for _, c := range w.Teams {
+		if c.Name == team && ((c.CPUsMax > 0 && cpus > c.CPUsMax+1e-6) || (c.GPUsMax > 0 && gpus > c.GPUsMax+1e-6)) {
+			w.breaks("quota", "%s uses %v CPUs and %v GPUs", team, cpus, gpus)
+		}
+	}
+}
+
+// mates lists the tasks of the same gang attempt, with their machines.
+func (w *World) mates(t *task) map[*task]*Worker {
+	out := map[*task]*Worker{}
+	for i := range t.job.Tasks {
+		for k, o := range w.on[wire.TaskName(t.job.ID, i)] {
+			if o.try == t.try {
+				out[o] = k
+			}
+		}
+	}
+	return out
+}
+
+// gather lets a gang start once all its tasks are there, and ends it at once.
+func (w *World) gather(k *Worker, t *task) {
+	k.after(t, w.GangWait, func() {
+		if t.state == wire.WaitingGang {
+			k.exit(t, wire.CauseIncomplete, false)
+		}
+	})
+	ms := w.mates(t)
+	if len(ms) < t.job.Tasks {
+		return
+	}
+	for m, mk := range ms {
+		if m.state != wire.WaitingGang {
+			return
+		}
+		_ = mk
+	}
+	for m, mk := range ms {
+		m.state = wire.RunningTask
+		mk.after(m, w.runTime(t.job), func() {
+			for o, ok := range w.mates(m) {
+				if o.state == wire.RunningTask {
+					w.done[o.name] = true
+					ok.exit(o, wire.CauseDone, false)
+				}
+			}
+		})
+	}
+}
+
+// off takes a task from its machine; the rest of a running gang notices.
+func (w *World) off(k *Worker, t *task) {
+	if w.on[t.name][k] != t {
+		return
+	}
+	delete(w.on[t.name], k)
+	if len(w.on[t.name]) == 0 {
+		delete(w.on, t.name)
+	}
+	if t.job.Shape != wire.Gang || w.done[t.name] || t.state == wire.WaitingGang {
+		return
+	}
+	for m, mk := range w.mates(t) {
+		if m.state == wire.RunningTask {
+			mk.after(m, w.GangPeer, func() { mk.exit(m, wire.CausePeers, false) })
+		}
+	}
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 
 	"golang.org/x/time/rate"
@@ -42,6 +42,7 @@
 
 // Options of a client.
 type Options struct {
+	Net     transport.Net
 	Addr    string
 	Timeout time.Duration
 	// ReadRate and WriteRate are this node's share of the service's limits,
@@ -66,20 +67,11 @@
 
 // New makes a client.
 func New(o Options) *Client {
-	tr := func(conns int) *http.Transport {
-		return &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
-			MaxConnsPerHost:     conns,
-			MaxIdleConnsPerHost: conns,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}
-	}
 	return &Client{
 		base:    "http://" + o.Addr,
 		timeout: o.Timeout,
-		http:    &http.Client{Transport: tr(16)},
-		watch:   &http.Client{Transport: tr(8)},
+		http:    transport.Client(o.Net, 16, 16, o.Timeout),
+		watch:   transport.Client(o.Net, 8, 8, o.Timeout),
 		reads:   rate.NewLimiter(rate.Limit(o.ReadRate), max(1, int(o.ReadRate/2))),
 		writes:  rate.NewLimiter(rate.Limit(o.WriteRate), max(16, int(o.WriteRate))),
 		start:   time.Now(),
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -5,10 +5,10 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
+	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 )
 
@@ -19,17 +19,13 @@
 }
 
 // New makes a client that waits for an answer for the given time at most.
-func New(timeout time.Duration) *Client {
-	return &Client{timeout: timeout, http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxConnsPerHost:     1,
-		MaxIdleConns:        64,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}}
+func New(n transport.Net, timeout time.Duration) *Client {
+	return &Client{timeout: timeout, http: transport.Client(n, 1, maxIdle, timeout)}
 }
 
+// maxIdle is how many connections to workers are kept open; each is a socket.
+const maxIdle = 64
+
 // Order sends orders. executed is true only if the worker carried them out; on
 // an error they may still be, for as long as token and session match.
 func (c *Client) Order(ctx context.Context, addr string, o wire.Orders) (r *wire.Report, executed bool, err error) {
