--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -187,7 +187,7 @@
 	select {
 	case <-over:
 	case <-time.After(limit):
-		d.t.Errorf("jobs still under way after %v", limit)
+		d.t.Errorf("jobs still under way after %v; the state service holds\n%s", limit, d.state.Dump())
 	}
 	for _, b := range d.world.Broken() {
 		d.t.Errorf("broken rule: %s", b)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -81,6 +82,26 @@
 	s.down = down
 }
 
+// Dump lists all keys with their values, for a test's report.
+func (s *State) Dump() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.items {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	var b strings.Builder
+	for _, k := range keys {
+		var v any
+		if err := wire.Unmarshal(s.items[k].value, &v); err != nil {
+			v = err
+		}
+		fmt.Fprintf(&b, "%s @%d: %v\n", k, s.items[k].stamp, v)
+	}
+	return b.String()
+}
+
 // expire ends the holds whose time is over. It must be called with mu held.
 func (s *State) expire() {
 	if s.down {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -141,14 +141,25 @@
 	}
 }
 
+// expire ends the sessions of machines that hang beyond their leases.
+func (w *World) expire() {
+	late := map[*Worker]bool{}
+	for _, ks := range w.on {
+		for k := range ks {
+			late[k] = true
+		}
+	}
+	for k := range late {
+		k.checkLease()
+	}
+}
+
 // begin puts a task on its machine: its image is there.
 func (w *World) begin(k *Worker, t *task) {
 	w.sweep()
 	j := t.job
 	w.starts++
-	for o := range w.on[t.name] {
-		o.checkLease()
-	}
+	w.expire()
 	if len(w.on[t.name]) > 0 {
 		w.breaks("ran_twice", "%s attempt %d starts on %s while it is on another machine", t.name, t.try, k.M.ID)
 	}
