--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -37,11 +37,6 @@
 	InFlightTarget float64
 	// QueueTarget: waiting machine units per extra machine (the design's).
 	QueueTarget float64
-	// PatienceS: seconds that work waits for room expected to fall free rather
-	// than have a machine rented, for each time that the machine is as dear as
-	// the cheapest type; at most PatienceBoots times the type's boot time.
-	PatienceS     float64
-	PatienceBoots float64
 	// HorizonS: seconds within which short tasks of an array are counted as
 	// following one another in the same place: about a boot's time, since a
 	// machine that is up only after they are over is wasted.
@@ -95,7 +90,7 @@
 func Default() Tuning {
 	return Tuning{
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
-		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, PatienceS: 1.5, PatienceBoots: 1.5, HorizonS: 60, GiveBackS: 30,
+		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
 		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, FinalCache: 4096,
