--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -153,7 +153,7 @@
 		}
 		n = left
 	}
-	where := p.fit(j, n, now, (*Machine).free, p.cost)
+	where := p.fit(j, n, now, (*Machine).free)
 	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
 		j.noRoom = p.room
 		p.makeRoom(j, min(n, 2*slice), now)
@@ -233,12 +233,9 @@
 	return false
 }
 
-// costFunc orders the machines that a task could take; left is their room.
-type costFunc func(j *Job, m *Machine, left Room) float64
-
 // fit finds machines for up to n tasks of a job, for a gang for all n or none.
 // free tells what room of a machine counts.
-func (p *Part) fit(j *Job, n int, now time.Time, free func(*Machine) Room, cost costFunc) []*Machine {
+func (p *Part) fit(j *Job, n int, now time.Time, free func(*Machine) Room) []*Machine {
 	r := need(j.Job)
 	zones := zoneCount(j)
 	var cands []*Machine
@@ -259,7 +256,7 @@
 		return nil
 	}
 	if !j.OneZone {
-		return p.pick(j, n, cands, zones, free, cost)
+		return p.pick(j, n, cands, zones, free)
 	}
 	// All tasks in one zone, old attempts that may be live included.
 	names := map[string][]*Machine{}
@@ -272,13 +269,13 @@
 		if len(zones) > 0 && zones[z] == 0 {
 			continue
 		}
-		got := p.pick(j, n, names[z], zones, free, cost)
+		got := p.pick(j, n, names[z], zones, free)
 		if j.Shape == wire.Gang && len(got) < n {
 			continue
 		}
 		c := 0.0
 		for _, m := range got {
-			c += cost(j, m, free(m))
+			c += p.cost(j, m, free(m))
 		}
 		if len(got) > len(best) || (len(got) == len(best) && c < bestCost) {
 			best, bestCost = got, c
@@ -288,7 +285,7 @@
 }
 
 // pick takes the cheapest machines one after the other.
-func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room, cost costFunc) []*Machine {
+func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
 	r := need(j.Job)
 	left := make([]Room, len(cands))
 	for i, m := range cands {
@@ -306,7 +303,7 @@
 			if !left[i].holds(r) || (j.Spread && perZone[m.Rec.Zone] >= limit) {
 				continue
 			}
-			if c := cost(j, m, left[i]); best < 0 || c < bestCost {
+			if c := p.cost(j, m, left[i]); best < 0 || c < bestCost {
 				best, bestCost = i, c
 			}
 		}
@@ -320,18 +317,13 @@
 	return out
 }
 
-// fetch is how long a task waits for its image, in seconds.
-func (p *Part) fetch(j *Job, m *Machine) float64 {
-	if _, ok := m.images[j.Image]; ok || m.typ.FetchRate <= 0 {
-		return 0
-	}
-	return j.ImageGB / m.typ.FetchRate
-}
-
 // cost orders machines for a task, in seconds: the image's fetch, then the
 // scarcer machine, then the emptier one, so that whole machines fall empty.
 func (p *Part) cost(j *Job, m *Machine, free Room) float64 {
-	c := p.fetch(j, m)
+	c := 0.0
+	if _, ok := m.images[j.Image]; !ok && m.typ.FetchRate > 0 {
+		c += j.ImageGB / m.typ.FetchRate
+	}
 	if j.GPUs == 0 && m.typ.GPUs > 0 {
 		c += 120
 	}
@@ -366,13 +358,6 @@
 			f = f.add(need(pl.job.Job))
 		}
 		return f
-	}, func(j *Job, m *Machine, left Room) float64 {
-		// Where the least has to be stopped.
-		c := p.fetch(j, m)
-		if !m.free().holds(need(j.Job)) {
-			c += p.t.VictimCostS * float64(len(victims(m)))
-		}
-		return c
 	})
 	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
 		return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -72,8 +72,6 @@
 	// SettledS: seconds after which a start counts even if the task is stopped
 	// (the protocol's).
 	SettledS float64
-	// VictimCostS: seconds of image fetch that it is worth to stop one task less.
-	VictimCostS float64
 	// GraceS: seconds of grace beyond what a task says that saving takes.
 	GraceS float64
 	// UserWaitS: seconds within which a user's request is answered, at the
@@ -94,7 +92,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, VictimCostS: 5, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, FinalCache: 4096,
 	}
 }
