--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -71,6 +71,7 @@
 	part    int
 	left    Room
 	taken   bool
+	known   bool // a rental that is counted already
 }
 
 // Plan sizes the fleet. In-flight target = ceil(booked room / 0.8) per type;
@@ -121,31 +122,23 @@
 		rent[key] += n
 	}
 	queued := map[string]int{}
+	rented := map[Kind]int{}
 	for _, w := range f.demands(in) {
-		zone := w.Zone
-		for n := f.units(w.Demand); n > 0; {
-			b := firstBin(bins, w.Demand, zone, w.part, types)
-			if b == nil {
-				k, ok := f.choose(w.Demand, zone, n, in, types, rentedOf(rent, func(k rentKey) Kind { return k.kind }))
-				if !ok {
-					break
-				}
-				b = &bin{kind: k, part: w.part, left: size(types[k.Type])}
+		got := f.assign(w, in, bins, types, rented)
+		for i, k := range got.take {
+			b := got.bins[i]
+			if b.machine == nil && !b.known {
+				b.known = true
 				bins = append(bins, b)
-				add(k, w.part, 1)
-				queued[k.Type]++
+				add(b.kind, w.part, 1)
+				rented[b.kind]++
+				queued[b.kind.Type]++
 			} else if b.machine != nil && b.part != w.part {
 				p.Moves = append(p.Moves, Move{b.machine.ID, w.part})
 				b.part = w.part
 			}
 			b.taken = true
-			if w.OneZone {
-				zone = b.kind.Zone
-			}
-			r := Room{w.CPUs, w.GPUs, w.RAM}
-			k := min(n, b.left.count(r))
-			b.left = b.left.sub(r.times(k))
-			n -= k
+			b.left = b.left.sub(Room{w.CPUs, w.GPUs, w.RAM}.times(k))
 		}
 	}
 	booked, firm := map[string]float64{}, map[string]float64{}
@@ -185,12 +178,86 @@
 	return p
 }
 
-func rentedOf[K comparable](m map[K]int, kind func(K) Kind) map[Kind]int {
-	out := map[Kind]int{}
-	for k, n := range m {
-		out[kind(k)] += n
+// assignment is where a demand's tasks would go: take[i] tasks to bins[i].
+type assignment struct {
+	bins   []*bin
+	take   []int
+	placed int
+	rented int
+}
+
+// assign finds bins for a demand and adds what has to be rented. A demand that
+// must stay in one zone gets the one where most of it can be, at the least rent.
+func (f *Fleet) assign(w partDemand, in FleetInput, bins []*bin, types map[string]wire.MachineType, rented map[Kind]int) assignment {
+	if !w.OneZone || w.Zone != "" {
+		return f.assignIn(w, w.Zone, in, bins, types, rented)
 	}
-	return out
+	zones := map[string]bool{}
+	for _, t := range in.Types {
+		for _, z := range t.Zones {
+			zones[z] = true
+		}
+	}
+	var best assignment
+	for _, z := range sortedKeys(zones) {
+		a := f.assignIn(w, z, in, bins, types, rented)
+		if a.placed > best.placed || (a.placed == best.placed && a.rented < best.rented) {
+			best = a
+		}
+	}
+	return best
+}
+
+func (f *Fleet) assignIn(w partDemand, zone string, in FleetInput, bins []*bin, types map[string]wire.MachineType, rented map[Kind]int) assignment {
+	var a assignment
+	r := Room{w.CPUs, w.GPUs, w.RAM}
+	inZone := map[string]int{}
+	n := f.units(w.Demand)
+	room := func(z string) int {
+		if w.ZoneMax == 0 {
+			return n
+		}
+		return min(n, w.ZoneMax-inZone[z])
+	}
+	put := func(b *bin, k int) {
+		a.bins, a.take = append(a.bins, b), append(a.take, k)
+		a.placed += k
+		inZone[b.kind.Zone] += k
+		n -= k
+	}
+	for pass := range 2 { // the demand's own part first, then empty ones of others
+		for _, b := range bins {
+			if n == 0 || !kindAllowed(w.Demand, b.kind, zone) || (b.part == w.part) != (pass == 0) || (pass == 1 && (b.taken || b.machine == nil)) {
+				continue
+			}
+			if w.GPUs == 0 && types[b.kind.Type].GPUs > 0 {
+				continue
+			}
+			// What waits fits no free room of its own part, whatever keeps it
+			// from there; only several tasks of a gang can use some of it.
+			if pass == 0 && b.machine != nil && b.machine.Empty && !(w.Gang && w.Tasks > 1) {
+				continue
+			}
+			if k := min(room(b.kind.Zone), b.left.count(r)); k > 0 {
+				put(b, k)
+			}
+		}
+	}
+	mine := map[Kind]int{}
+	for k, v := range rented {
+		mine[k] = v
+	}
+	for n > 0 {
+		k, ok := f.choose(w.Demand, zone, n, in, types, mine, func(z string) bool { return room(z) > 0 })
+		if !ok {
+			break
+		}
+		b := &bin{kind: k, part: w.part, left: size(types[k.Type])}
+		mine[k]++
+		a.rented++
+		put(b, min(room(k.Zone), b.left.count(r)))
+	}
+	return a
 }
 
 func sortedParts(m map[int]Summary) []int {
@@ -236,33 +303,12 @@
 	return max(1, int(math.Ceil(float64(d.Tasks)*d.Seconds/f.t.HorizonS/f.t.QueueTarget)))
 }
 
-// firstBin finds room that is coming or empty, in the demand's own part first.
-func firstBin(bins []*bin, d Demand, zone string, part int, types map[string]wire.MachineType) *bin {
-	r := Room{d.CPUs, d.GPUs, d.RAM}
-	var other *bin
-	for _, b := range bins {
-		if !kindAllowed(d, b.kind, zone) || !b.left.holds(r) {
-			continue
-		}
-		if d.GPUs == 0 && types[b.kind.Type].GPUs > 0 {
-			continue
-		}
-		if b.part == part {
-			return b
-		}
-		if other == nil && !b.taken && b.machine != nil {
-			other = b
-		}
-	}
-	return other
-}
-
 func kindAllowed(d Demand, k Kind, zone string) bool {
 	return typeAllowed(d.Types, k.Type) && (zone == "" || k.Zone == zone) && (d.Spot || !k.Spot)
 }
 
 // choose picks the kind whose machines do the waiting work at the lowest cost.
-func (f *Fleet) choose(d Demand, zone string, n int, in FleetInput, types map[string]wire.MachineType, rented map[Kind]int) (Kind, bool) {
+func (f *Fleet) choose(d Demand, zone string, n int, in FleetInput, types map[string]wire.MachineType, rented map[Kind]int, open func(zone string) bool) (Kind, bool) {
 	r := Room{d.CPUs, d.GPUs, d.RAM}
 	best, bestCost, bestHave := Kind{}, math.Inf(1), 0
 	for _, t := range in.Types {
@@ -274,7 +320,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if zone != "" && z != zone {
+			if (zone != "" && z != zone) || !open(z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -97,7 +97,7 @@
 	Zone    string   `cbor:"z,omitempty"`
 	Spot    bool     `cbor:"s"`
 	OneZone bool     `cbor:"o"`
-	Spread  bool     `cbor:"sp"`
+	ZoneMax int      `cbor:"zm,omitempty"` // most tasks in one zone; 0: any
 	Gang    bool     `cbor:"g"`
 	CPUs    float64  `cbor:"c"`
 	GPUs    float64  `cbor:"gp"`
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -61,6 +61,16 @@
 }
 
 func demand(j *Job, n int) Demand {
-	return Demand{Types: j.Types, Zone: j.Zone, Spot: j.Spot, OneZone: j.OneZone, Spread: j.Spread, Gang: j.Shape == wire.Gang,
+	d := Demand{Types: j.Types, Zone: j.Zone, Spot: j.Spot, OneZone: j.OneZone, Gang: j.Shape == wire.Gang,
 		CPUs: j.CPUs, GPUs: j.GPUs, RAM: j.RAM, Tasks: n, Seconds: j.Estimate, Level: j.Rank.Level()}
+	if j.Spread {
+		d.ZoneMax = (j.Tasks + 1) / 2
+	}
+	if j.OneZone {
+		// Where its other tasks are, the rest has to go.
+		for z := range zoneCount(j) {
+			d.Zone = z
+		}
+	}
+	return d
 }
