--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ambersill/internal/tuning"
+)
+
+const good = `
+node = "n0"
+zone = "a"
+public_addr = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+unheard_of = 3
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+count = 1
+[cluster.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 35.0
+gang_peer_s = 5.0
+cancel_s = 44.0
+[cluster.state]
+rps = 150.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 12
+[cluster.cloud]
+rps = 5.0
+[cluster.machine_limits]
+ram_mb = 98.0
+max_sockets = 700
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Unknown fields are ignored; what is missing or impossible is named.
+func TestLoad(t *testing.T) {
+	if _, err := Load(write(t, "s.toml", good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`node = "n0"`, ``, "node"},
+		{`public_addr = "127.0.0.1:1"`, `public_addr = "here"`, "public_addr"},
+		{`lease_s = 14.0`, `lease_s = 0.0`, "cluster.workers.lease_s"},
+		{`txn_ops = 12`, `txn_ops = 1`, "txn_ops"},
+		{`count = 1`, `count = 0`, "cluster.count"},
+		{`count = 1`, `count = "x"`, "count"},
+		{`node = "n0"`, `node = `, ""},
+	} {
+		_, err := Load(write(t, "s.toml", strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s: %v", c.to, err)
+		}
+	}
+	if _, err := Load("/nowhere/at/all"); err == nil {
+		t.Error("a file that is not there is read")
+	}
+}
+
+func TestLoadPolicy(t *testing.T) {
+	v := tuning.Default()
+	if err := LoadPolicy(write(t, "p.star", "_min = 60\ndef twice(x):\n    return 2 * x\nGiveBackS = twice(_min)\nParts = 2\n"), &v); err != nil {
+		t.Fatal(err)
+	}
+	if v.GiveBackS != 120 || v.Parts != 2 {
+		t.Fatalf("%+v", v)
+	}
+	for _, bad := range []string{"Nonsense = 1", "GiveBackS = -1", "GiveBackS = 'x'", "Parts = 1.5", "RoundS = 0", "while True: pass", "x ="} {
+		if err := LoadPolicy(write(t, "p.star", bad), &v); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -36,6 +36,7 @@
 	up     map[int]func() // crashes the node
 	wg     sync.WaitGroup
 	ended  map[string]wire.Phase
+	calm   atomic.Bool // nothing is lost any more
 }
 
 var dayTypes = []wire.MachineType{
@@ -205,16 +206,17 @@
 }
 
 // troubles strikes with random troubles until the time is over.
-func (d *day) troubles(over time.Duration) {
+func (d *day) troubles(seed uint64, over time.Duration) {
+	rnd := rand.New(rand.NewPCG(seed, 4))
 	end := time.Now().Add(over)
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(5+d.rnd.IntN(15)) * time.Second)
+		time.Sleep(time.Duration(5+rnd.IntN(15)) * time.Second)
 		ws := d.cloud.Workers()
-		switch k := d.rnd.IntN(8); {
+		switch k := rnd.IntN(8); {
 		case k == 0: // a crash, and a restart that may be quick
-			i := d.rnd.IntN(3)
+			i := rnd.IntN(3)
 			d.crash(i)
-			time.Sleep(time.Duration(200+d.rnd.IntN(4000)) * time.Millisecond)
+			time.Sleep(time.Duration(200+rnd.IntN(4000)) * time.Millisecond)
 			d.start(i)
 		case k == 1: // all crash
 			for i := range 3 {
@@ -226,10 +228,10 @@
 			}
 		case k == 2: // an outage
 			d.state.SetDown(true)
-			time.Sleep(time.Duration(3+d.rnd.IntN(20)) * time.Second)
+			time.Sleep(time.Duration(3+rnd.IntN(20)) * time.Second)
 			d.state.SetDown(false)
 		case k == 3 && len(ws) > 0: // a machine hangs
-			ws[d.rnd.IntN(len(ws))].Hang(time.Duration(2+d.rnd.IntN(30)) * time.Second)
+			ws[rnd.IntN(len(ws))].Hang(time.Duration(2+rnd.IntN(30)) * time.Second)
 		case k == 4 && len(ws) > 0: // a spot machine is taken
 			for _, w := range ws {
 				if w.M.Spot {
@@ -246,14 +248,14 @@
 				}
 			}
 		case k == 6: // a controller loses the state service
-			n := d.nodes[d.rnd.IntN(3)].Name
+			n := d.nodes[rnd.IntN(3)].Name
 			d.fabric.Cut(n, "state", true)
-			time.Sleep(time.Duration(4+d.rnd.IntN(40)) * time.Second)
+			time.Sleep(time.Duration(4+rnd.IntN(40)) * time.Second)
 			d.fabric.Cut(n, "state", false)
 		case k == 7: // a controller loses the workers
-			n := d.nodes[d.rnd.IntN(3)].Name
+			n := d.nodes[rnd.IntN(3)].Name
 			d.fabric.Cut(n, "workers", true)
-			time.Sleep(time.Duration(4+d.rnd.IntN(20)) * time.Second)
+			time.Sleep(time.Duration(4+rnd.IntN(20)) * time.Second)
 			d.fabric.Cut(n, "workers", false)
 		}
 	}
@@ -266,7 +268,7 @@
 	pick := func(share float64) (standin.Fault, time.Duration) {
 		mu.Lock()
 		defer mu.Unlock()
-		if rnd.Float64() > share {
+		if d.calm.Load() || rnd.Float64() > share {
 			return standin.NoFault, 0
 		}
 		return []standin.Fault{standin.LostReply, standin.Late, standin.Refuse}[rnd.IntN(3)], time.Duration(rnd.IntN(60)) * time.Second
@@ -276,11 +278,14 @@
 }
 
 // play runs a day in virtual time.
-func play(t *testing.T, seed uint64, parts int, f func(d *day)) {
+func play(t *testing.T, seed uint64, parts int, lossy bool, f func(d *day)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		d := newDay(t, ctx, seed)
 		d.tune.Parts = parts
+		if lossy {
+			d.loseSome()
+		}
 		for i := range 3 {
 			d.start(i)
 		}
@@ -292,7 +297,7 @@
 }
 
 func TestQuietDay(t *testing.T) {
-	play(t, 1, 1, func(d *day) {
+	play(t, 1, 1, false, func(d *day) {
 		d.jobs(0, 20, 2*time.Minute)
 		d.finish(15 * time.Minute)
 	})
@@ -308,12 +313,11 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			play(t, uint64(100+seed), seed%4, func(d *day) { // 0 parts: one for each controller
-				d.loseSome()
-				go d.troubles(4 * time.Minute)
+			play(t, uint64(100+seed), seed%4, true, func(d *day) { // 0 parts: one for each controller
+				go d.troubles(uint64(seed), 4*time.Minute)
 				d.jobs(0, 40, 4*time.Minute)
 				time.Sleep(time.Minute)
-				d.state.Faults, d.cloud.Faults = nil, nil
+				d.calm.Store(true)
 				d.finish(40 * time.Minute)
 			})
 		})
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,548 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var testTypes = []wire.MachineType{
+	{Name: "cpu", CPUs: 8, RAM: 32, FetchRate: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"a", "b"}},
+	{Name: "gpu", CPUs: 16, GPUs: 4, RAM: 64, FetchRate: 1, Price: 8, SpotPrice: 3, BootS: 40, Zones: []string{"a", "b"}},
+}
+
+func testSettings() *config.Settings {
+	s := &config.Settings{}
+	c := &s.Cluster
+	c.Teams = []config.Team{{Name: "limited", CPUsMax: 10, GPUsMax: 3}, {Name: "sure", GPUs: 2}, {Name: "free"}}
+	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.CancelS, c.Workers.GangPeerS = 2, 14, 44, 5
+	c.State.ValueKB, c.State.TxnOps = 8, 12
+	return s
+}
+
+// bed is a part with helpers that play the state service and the workers.
+type bed struct {
+	*Part
+	now time.Time
+	rev uint64
+	seq map[string]uint64
+	on  map[string]map[attempt]wire.TaskReport
+}
+
+func newBed() *bed {
+	t := tuning.Default()
+	b := &bed{Part: NewPart(0, 10, testSettings(), &t), now: time.Unix(1000, 0), rev: 100, seq: map[string]uint64{}, on: map[string]map[attempt]wire.TaskReport{}}
+	b.SetTypes(testTypes)
+	return b
+}
+
+func (b *bed) machine(id, typ, zone string, spot bool) {
+	b.rev++
+	b.SetMachine(id, MachineRecord{Type: typ, Zone: zone, Spot: spot}, b.rev, b.now)
+	b.on[id] = map[attempt]wire.TaskReport{}
+	b.report(id)
+	b.report(id)
+}
+
+func (b *bed) add(j wire.Job) *Job {
+	b.rev++
+	return b.AddJob(&j, b.now, b.rev)
+}
+
+// commit has the state service take all changes.
+func (b *bed) commit() {
+	for {
+		x := b.Batch()
+		if x.Empty() {
+			return
+		}
+		b.rev++
+		b.Committed(x, b.rev)
+	}
+}
+
+// report sends a worker's report and carries the answer out.
+func (b *bed) report(id string) []wire.Command {
+	b.seq[id]++
+	r := &wire.Report{Machine: id, Session: 1, Seq: b.seq[id], Token: b.machines[id].token}
+	for _, t := range b.on[id] {
+		r.Tasks = append(r.Tasks, t)
+	}
+	v, reply := b.Report(r, b.now, true)
+	if v != Accepted {
+		return nil
+	}
+	for _, c := range reply.Commands {
+		k := attempt{c.Task, c.Attempt}
+		switch c.Op {
+		case wire.Start:
+			b.on[id][k] = wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.RunningTask}
+		case wire.Stop:
+			if t, ok := b.on[id][k]; ok {
+				t.State, t.Cause = wire.Exited, wire.CauseStopped
+				b.on[id][k] = t
+			}
+		case wire.Forget:
+			delete(b.on[id], k)
+		}
+	}
+	return reply.Commands
+}
+
+func (b *bed) end(id, task string, try uint64, why wire.Cause) {
+	b.on[id][attempt{task, try}] = wire.TaskReport{Task: task, Attempt: try, State: wire.Exited, Cause: why}
+}
+
+func ops(cs []wire.Command) []string {
+	var out []string
+	for _, c := range cs {
+		out = append(out, fmt.Sprint(c.Op, " ", c.Task, " ", c.Attempt))
+	}
+	return out
+}
+
+func array(id string, n int, cpus float64) wire.Job {
+	return wire.Job{ID: id, Team: "free", Shape: wire.Array, Rank: "standard", Tasks: n, CPUs: cpus, RAM: 1, Image: "i", Estimate: 60}
+}
+
+// A start must not leave before the placement is committed, nor a clear before
+// the end is: whoever takes over would not know of the task.
+func TestRecordThenStartThenClear(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 1, 1))
+	b.Schedule(b.now)
+	if got := ops(b.report("m-1")); len(got) != 0 {
+		t.Fatalf("commands before the commit: %v", got)
+	}
+	b.commit()
+	if diff := cmp.Diff([]string{"start req-1/0 1"}, ops(b.report("m-1"))); diff != "" {
+		t.Fatal(diff)
+	}
+	b.end("m-1", "req-1/0", 1, wire.CauseDone)
+	if got := ops(b.report("m-1")); len(got) != 0 {
+		t.Fatalf("commands before the end is committed: %v", got)
+	}
+	b.commit()
+	if diff := cmp.Diff([]string{"clear req-1/0 1"}, ops(b.report("m-1"))); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// A start whose answer was lost is repeated; one that a report has shown and
+// another does not is over, and comes back as a new attempt.
+func TestLostStartAndLostTask(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 1, 1))
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	b.on["m-1"] = map[attempt]wire.TaskReport{} // the answer did not arrive
+	if diff := cmp.Diff([]string{"start req-1/0 1"}, ops(b.report("m-1"))); diff != "" {
+		t.Fatal(diff)
+	}
+	b.report("m-1")
+	b.on["m-1"] = map[attempt]wire.TaskReport{}
+	if got := ops(b.report("m-1")); len(got) != 0 {
+		t.Fatalf("a task that was seen is started again under its attempt: %v", got)
+	}
+	b.Schedule(b.now)
+	b.commit()
+	if diff := cmp.Diff([]string{"start req-1/0 2"}, ops(b.report("m-1"))); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// An order that was not answered may be carried out later: until the worker has
+// seen a higher token nothing is concluded from the task's absence.
+func TestUnansweredOrderHoldsItsPlace(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 1, 1))
+	b.Schedule(b.now)
+	b.commit()
+	if got := b.Urgent(); len(got) != 1 {
+		t.Fatalf("urgent: %v", got)
+	}
+	o, ok := b.Orders("m-1")
+	if !ok || len(o.Commands) != 1 {
+		t.Fatalf("orders: %v", o)
+	}
+	if got := ops(b.report("m-1")); len(got) != 0 {
+		t.Fatalf("commands while an order is under way: %v", got)
+	}
+	b.Ordered(o, "m-1", false, false)
+	b.report("m-1")
+	if len(b.machines["m-1"].places) != 1 || len(b.Doubtful()) != 1 {
+		t.Fatal("the placement was given up although its start may still come")
+	}
+	b.rev++
+	b.SetMachine("m-1", b.machines["m-1"].Rec, b.rev, b.now) // the rewritten record
+	b.report("m-1")                                          // carries the higher token
+	if len(b.machines["m-1"].places) != 0 || b.machines["m-1"].doubt {
+		t.Fatal("the placement stands although its order can no longer be carried out")
+	}
+}
+
+// After a takeover time alone frees nothing; after a word under the new token
+// the lease does.
+func TestTakeoverFreesNothingByTime(t *testing.T) {
+	b := newBed()
+	b.rev++
+	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, b.rev, b.now)
+	b.add(array("req-1", 1, 1))
+	b.LoadChunk("req-1", 0, b.rev, ChunkRecord{Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}})
+	b.Schedule(b.now.Add(time.Hour))
+	if len(b.machines["m-1"].places) != 1 {
+		t.Fatal("a placement of an earlier owner was freed by time alone")
+	}
+	b.seq["m-1"] = 5
+	b.on["m-1"] = map[attempt]wire.TaskReport{{"req-1/0", 3}: {Task: "req-1/0", Attempt: 3, State: wire.RunningTask}}
+	b.report("m-1")
+	b.Schedule(b.now.Add(14 * time.Second))
+	if len(b.machines["m-1"].places) != 1 {
+		t.Fatal("freed before the lease has surely run out")
+	}
+	b.Schedule(b.now.Add(20 * time.Second))
+	if len(b.machines["m-1"].places) != 0 {
+		t.Fatal("not freed after the lease")
+	}
+}
+
+// Reports that a cut held back are older than what is known, and must neither
+// count nor be answered; a higher token means another owner.
+func TestOldReportsAndHigherTokens(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	tok := b.machines["m-1"].token
+	for _, c := range []struct {
+		r    wire.Report
+		want Verdict
+	}{
+		{wire.Report{Machine: "m-1", Session: 1, Seq: 1, Token: tok}, Stale},
+		{wire.Report{Machine: "m-1", Session: 1, Seq: 99, Token: tok + 1}, Outranked},
+		{wire.Report{Machine: "m-9", Session: 1, Seq: 1}, NotOurs},
+		{wire.Report{Machine: "m-1", Session: 2, Seq: 1, Token: tok}, Accepted},
+		{wire.Report{Machine: "m-1", Session: 1, Seq: 999, Token: tok}, Stale},
+	} {
+		if v, _ := b.Report(&c.r, b.now, true); v != c.want {
+			t.Errorf("%+v: verdict %v, want %v", c.r, v, c.want)
+		}
+	}
+}
+
+// A gang that loses a task is stopped whole, and begins anew under a new attempt
+// only after the last of it is gone.
+func TestGangStartsAnewOnlyWhenGone(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.machine("m-2", "cpu", "a", false)
+	j := array("req-1", 2, 6)
+	j.Shape = wire.Gang
+	b.add(j)
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	b.report("m-2")
+	b.end("m-1", "req-1/0", 1, wire.CausePeers)
+	b.report("m-1")
+	b.Schedule(b.now)
+	if n := len(b.jobs["req-1"].placed); n != 1 {
+		t.Fatalf("%d tasks placed while the old attempt is on a machine", n)
+	}
+	b.report("m-2") // told to stop
+	b.report("m-2") // gone
+	b.Schedule(b.now)
+	b.commit()
+	for _, pl := range b.jobs["req-1"].placed {
+		if pl.try != 2 {
+			t.Fatalf("attempt %d", pl.try)
+		}
+	}
+	if len(b.jobs["req-1"].placed) != 2 {
+		t.Fatal("the gang is not placed again")
+	}
+}
+
+// A cancelled job's tasks are stopped, and its records go last.
+func TestCancelledJobIsStoppedAndForgotten(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 2, 1))
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	b.report("m-1")
+	b.Cancel("req-1", b.now)
+	b.commit()
+	if len(b.jobs) != 1 {
+		t.Fatal("forgotten while tasks are on a machine")
+	}
+	if got := ops(b.report("m-1")); len(got) != 2 {
+		t.Fatalf("commands: %v", got)
+	}
+	b.report("m-1")
+	x := b.Batch()
+	var deleted []string
+	for _, w := range x.Txn.Then {
+		deleted = append(deleted, w.Delete)
+	}
+	if diff := cmp.Diff([]string{"a/0/req-1/0", "x/0/req-1"}, deleted); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// A record must give a new owner the same state.
+func TestChunksSurviveATakeover(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed()
+		b.machine("m-1", "cpu", "a", false)
+		b.machine("m-2", "gpu", "b", false)
+		n := rapid.IntRange(1, 300).Draw(t, "tasks")
+		j := b.add(array("req-1", n, 1))
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			b.Schedule(b.now)
+			b.commit()
+			for _, id := range []string{"m-1", "m-2"} {
+				b.report(id)
+				for _, k := range sortedAttempts(b.machines[id].places) {
+					if rapid.Bool().Draw(t, "ends") {
+						b.end(id, k.task, k.try, rapid.SampledFrom([]wire.Cause{wire.CauseDone, wire.CauseStopped}).Draw(t, "cause"))
+					}
+				}
+				b.report(id)
+			}
+		}
+		if b.jobs["req-1"] == nil {
+			return
+		}
+		o := newBed()
+		o.machine("m-1", "cpu", "a", false)
+		o.machine("m-2", "gpu", "b", false)
+		k := o.add(array("req-1", n, 1))
+		for _, c := range j.chunks {
+			r := c.record()
+			raw, err := wire.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(raw) > 8<<10 {
+				t.Fatalf("a chunk of %d bytes", len(raw))
+			}
+			var back ChunkRecord
+			if err := wire.Unmarshal(raw, &back); err != nil {
+				t.Fatal(err)
+			}
+			o.LoadChunk("req-1", c.index, 1, back)
+		}
+		if diff := cmp.Diff(j.tasks, k.tasks); diff != "" {
+			t.Fatal(diff)
+		}
+		if j.try != k.try || j.done != k.done || j.waiting != k.waiting {
+			t.Fatalf("%d %d %d, then %d %d %d", j.try, j.done, j.waiting, k.try, k.done, k.waiting)
+		}
+	})
+}
+
+// Placement against a naive check of every constraint, and of nothing being
+// left waiting that would fit.
+func TestPlacementAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed()
+		for i := range rapid.IntRange(1, 6).Draw(t, "machines") {
+			typ := rapid.SampledFrom([]string{"cpu", "gpu"}).Draw(t, "type")
+			b.machine(fmt.Sprintf("m-%d", i), typ, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), rapid.Bool().Draw(t, "spot"))
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "jobs") {
+			j := array(fmt.Sprintf("req-%d", i), rapid.IntRange(1, 9).Draw(t, "tasks"), float64(rapid.IntRange(1, 5).Draw(t, "cpus")))
+			j.GPUs = float64(rapid.IntRange(0, 2).Draw(t, "gpus"))
+			j.Team = rapid.SampledFrom([]string{"limited", "sure", "free"}).Draw(t, "team")
+			j.Spot, j.OneZone = rapid.Bool().Draw(t, "spot"), rapid.Bool().Draw(t, "one zone")
+			j.Spread = !j.OneZone && rapid.Bool().Draw(t, "spread")
+			if rapid.Bool().Draw(t, "gang") {
+				j.Shape = wire.Gang
+			}
+			if rapid.Bool().Draw(t, "typed") {
+				j.Types = []string{"gpu"}
+			}
+			j.Rank = rapid.SampledFrom([]wire.Rank{"idle", "standard"}).Draw(t, "rank")
+			b.add(j)
+		}
+		b.Schedule(b.now)
+		used := map[string]Room{}
+		teams := map[string]Room{}
+		for _, j := range b.jobs {
+			zones := map[string]int{}
+			for _, pl := range j.placed {
+				used[pl.machine.ID] = used[pl.machine.ID].add(need(j.Job))
+				teams[j.Team] = teams[j.Team].add(need(j.Job))
+				zones[pl.machine.Rec.Zone]++
+				if pl.machine.Rec.Spot && !j.Spot || len(j.Types) > 0 && pl.machine.Rec.Type != "gpu" {
+					t.Fatalf("%s on %s", j.ID, pl.machine.ID)
+				}
+			}
+			if j.OneZone && len(zones) > 1 {
+				t.Fatalf("%s in zones %v", j.ID, zones)
+			}
+			for z, n := range zones {
+				if j.Spread && n > (j.Tasks+1)/2 {
+					t.Fatalf("%s has %d in zone %s", j.ID, n, z)
+				}
+			}
+			if j.Shape == wire.Gang && len(j.placed) != 0 && len(j.placed) != j.Tasks {
+				t.Fatalf("%s has %d of %d", j.ID, len(j.placed), j.Tasks)
+			}
+		}
+		for id, r := range used {
+			if !b.machines[id].size.holds(r) {
+				t.Fatalf("%s holds %v", id, r)
+			}
+		}
+		if l := teams["limited"]; l.CPUs > 10 || l.GPUs > 3 {
+			t.Fatalf("a team uses %v", l)
+		}
+		for _, j := range b.jobs {
+			r := need(j.Job)
+			if j.waiting == 0 || j.Shape == wire.Gang || j.OneZone || j.Spread || !b.team(j.Team).within(r) {
+				continue
+			}
+			for id, m := range b.machines {
+				if m.size.sub(used[id]).holds(r) && allowed(j.Job, m) && (m.reserved == "" || m.reserved == j.ID) {
+					t.Fatalf("a task of %s waits though it fits on %s", j.ID, id)
+				}
+			}
+		}
+	})
+}
+
+// Sizing against the two terms written down plainly, for like tasks of one type.
+func TestSizingAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tune := tuning.Default()
+		tune.InFlightTarget = rapid.SampledFrom([]float64{0.8, 1}).Draw(t, "target")
+		have := rapid.IntRange(0, 6).Draw(t, "machines")
+		booting := rapid.IntRange(0, have).Draw(t, "booting")
+		booked := rapid.Float64Range(0, float64(have-booting)).Draw(t, "booked")
+		per := rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "tasks in a machine")
+		waiting := rapid.IntRange(0, 20).Draw(t, "waiting")
+		in := FleetInput{Types: testTypes[1:], Summaries: map[int]Summary{}}
+		s := Summary{Booked: map[string]float64{"gpu": booked}, Firm: map[string]float64{"gpu": booked}}
+		for i := range have {
+			in.Machines = append(in.Machines, FleetMachine{ID: fmt.Sprint(i), Kind: Kind{"gpu", "a", false}, Up: i >= booting})
+		}
+		if waiting > 0 {
+			s.Waiting = []Demand{{GPUs: 4 / float64(per), CPUs: 1, RAM: 1, Tasks: waiting, Seconds: 1000}}
+		}
+		in.Summaries[0] = s
+		p := NewFleet(&tune).Plan(in, time.Unix(0, 0))
+		want := int(math.Ceil(booked/tune.InFlightTarget - 1e-6))
+		if short := (waiting+per-1)/per - booting; short > 0 {
+			want = max(want, have+short)
+		}
+		if p.Target["gpu"] != want {
+			t.Fatalf("target %d, want %d", p.Target["gpu"], want)
+		}
+		rented := 0
+		for _, r := range p.Rentals {
+			rented += r.Count
+		}
+		if rented != max(0, want-have) {
+			t.Fatalf("%d rented with %d there for a target of %d", rented, have, want)
+		}
+	})
+}
+
+// A gang that must be spread waited for ever when one machine held all of it.
+func TestSizingSpreadsOverZones(t *testing.T) {
+	tune := tuning.Default()
+	in := FleetInput{Types: testTypes, Machines: []FleetMachine{{ID: "m-1", Kind: Kind{"cpu", "a", false}, Empty: true, Up: true}},
+		Summaries: map[int]Summary{0: {Waiting: []Demand{{CPUs: 1, RAM: 1, Tasks: 4, Gang: true, ZoneMax: 2, Seconds: 60}}}}}
+	p := NewFleet(&tune).Plan(in, time.Unix(0, 0))
+	if len(p.Rentals) != 1 || p.Rentals[0].Kind.Zone != "b" {
+		t.Fatalf("rentals %+v", p.Rentals)
+	}
+}
+
+// Empty machines go back only after the lower target has held.
+func TestGiveBackWaitsOutTheHold(t *testing.T) {
+	tune := tuning.Default()
+	f := NewFleet(&tune)
+	in := FleetInput{Types: testTypes, Summaries: map[int]Summary{0: {}},
+		Machines: []FleetMachine{{ID: "m-1", Kind: Kind{"cpu", "a", false}, Empty: true, Up: true}}}
+	now := time.Unix(0, 0)
+	if p := f.Plan(in, now); len(p.Returns) != 0 {
+		t.Fatal("given back at once")
+	}
+	if p := f.Plan(in, now.Add(tuning.Seconds(tune.GiveBackS-1))); len(p.Returns) != 0 {
+		t.Fatal("given back before the hold")
+	}
+	if p := f.Plan(in, now.Add(tuning.Seconds(tune.GiveBackS))); len(p.Returns) != 1 {
+		t.Fatal("not given back")
+	}
+}
+
+// A job that fails everywhere backs off and is no demand; the machine is not
+// blamed for a single job.
+func TestJobThatFailsEverywhereBacksOff(t *testing.T) {
+	b := newBed()
+	for i := range 4 {
+		b.machine(fmt.Sprintf("m-%d", i), "cpu", "a", false)
+	}
+	b.add(array("req-1", 1, 1))
+	for range 2 {
+		b.Schedule(b.now)
+		b.commit()
+		for _, pl := range placements(b.jobs["req-1"]) {
+			id := pl.machine.ID
+			b.report(id)
+			b.end(id, "req-1/0", pl.try, wire.CauseError)
+			b.report(id)
+		}
+	}
+	b.Schedule(b.now)
+	if len(b.jobs["req-1"].placed) != 0 || len(b.Summary(b.now).Waiting) != 0 {
+		t.Fatal("it is tried again at once, or counted as demand")
+	}
+	if s := b.Summary(b.now); len(s.Bad) != 0 {
+		t.Fatalf("machines blamed: %v", s.Bad)
+	}
+	b.now = b.now.Add(time.Minute)
+	for i := range 4 {
+		b.report(fmt.Sprintf("m-%d", i))
+	}
+	b.Schedule(b.now)
+	if len(b.jobs["req-1"].placed) != 1 {
+		t.Fatal("it is not tried again later")
+	}
+}
+
+func TestImpossibleJobs(t *testing.T) {
+	s := testSettings()
+	for _, c := range []struct {
+		name string
+		j    wire.Job
+		ok   bool
+	}{
+		{"plain", wire.Job{Team: "free", Tasks: 9, CPUs: 1}, true},
+		{"unknown team", wire.Job{Team: "none", Tasks: 1, CPUs: 1}, false},
+		{"too large", wire.Job{Team: "free", Tasks: 1, CPUs: 17}, false},
+		{"unknown type", wire.Job{Team: "free", Tasks: 1, CPUs: 1, Types: []string{"x"}}, false},
+		{"unknown zone", wire.Job{Team: "free", Tasks: 1, CPUs: 1, Zone: "x"}, false},
+		{"array beyond the limit by its sum", wire.Job{Team: "limited", Shape: wire.Array, Tasks: 9, CPUs: 5}, true},
+		{"gang beyond the limit by its sum", wire.Job{Team: "limited", Shape: wire.Gang, Tasks: 3, CPUs: 5}, false},
+		{"gang spread over one zone", wire.Job{Team: "free", Shape: wire.Gang, Tasks: 2, CPUs: 1, Spread: true, Zone: "a"}, false},
+	} {
+		if got := Impossible(&c.j, s, testTypes); (got == "") != c.ok {
+			t.Errorf("%s: %q", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+)
+
+func goodJob() map[string]any {
+	return map[string]any{"uid": "req-000412", "lane": "train", "crew": "vision", "shape": "ensemble", "rank": "urgent", "pieces": 16,
+		"cores": 8.0, "gpus": 1.0, "ramGb": 64.0, "pattern": "img-07", "imageGb": 6.2, "breeds": []string{"g8"}, "field": nil,
+		"samePlace": true, "spread": false, "windfall": true, "guessS": 240.0, "stitchS": 30.0, "bankS": 4.0, "dueS": 900.0, "later": 1}
+}
+
+// Bad input must be told from good by the field, since it is never retried.
+func TestParseJob(t *testing.T) {
+	for name, change := range map[string]func(m map[string]any){
+		"good":              func(map[string]any) {},
+		"good: integers":    func(m map[string]any) { m["cores"], m["dueS"] = 8, 900 },
+		"good: null":        func(m map[string]any) { m["breeds"], m["dueS"] = nil, nil },
+		"good: left out":    func(m map[string]any) { delete(m, "breeds"); delete(m, "field"); delete(m, "dueS") },
+		"missing cores":     func(m map[string]any) { delete(m, "cores") },
+		"null rank":         func(m map[string]any) { m["rank"] = nil },
+		"bad id":            func(m map[string]any) { m["uid"] = "412" },
+		"path in id":        func(m map[string]any) { m["uid"] = "req-1/2" },
+		"no tasks":          func(m map[string]any) { m["pieces"] = 0 },
+		"too many tasks":    func(m map[string]any) { m["pieces"] = 100001 },
+		"part of a task":    func(m map[string]any) { m["pieces"] = 1.5 },
+		"negative amount":   func(m map[string]any) { m["gpus"] = -1.0 },
+		"text for a number": func(m map[string]any) { m["ramGb"] = "64" },
+		"unknown rank":      func(m map[string]any) { m["rank"] = "high" },
+		"unknown shape":     func(m map[string]any) { m["shape"] = "pair" },
+		"no types":          func(m map[string]any) { m["breeds"] = []string{} },
+		"zero deadline":     func(m map[string]any) { m["dueS"] = 0.0 },
+		"endless name":      func(m map[string]any) { m["pattern"] = strings.Repeat("x", 5000) },
+	} {
+		m := goodJob()
+		change(m)
+		b, err := Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseJob(b); (err == nil) != strings.HasPrefix(name, "good") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for _, b := range [][]byte{nil, {0xff}, []byte("{}"), {0x80}, {0x01}} {
+		if _, err := ParseJob(b); err == nil {
+			t.Errorf("%x is taken as a job", b)
+		}
+	}
+}
+
+func FuzzParseJob(f *testing.F) {
+	b, err := Marshal(goodJob())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		j, err := ParseJob(b)
+		if err == nil && (!ValidJobID(j.ID) || j.Tasks < 1 || j.Tasks > maxTasks || j.Rank.Level() < 0) {
+			t.Fatalf("taken: %+v", j)
+		}
+	})
+}
+
+func TestTaskNames(t *testing.T) {
+	if id, i, ok := SplitTask(TaskName("req-7", 42)); id != "req-7" || i != 42 || !ok {
+		t.Fatal(id, i, ok)
+	}
+	for _, n := range []string{"", "req-7", "req-7/", "req-7/x", "req-7/-1", "req-7/100000"} {
+		if _, _, ok := SplitTask(n); ok {
+			t.Errorf("%q is taken as a task", n)
+		}
+	}
+}
