--- a/cmd/ambersill/main.go
+++ b/cmd/ambersill/main.go
@@ -86,7 +86,7 @@
 		Run: func(cmd *cobra.Command, _ []string) {
 			fmt.Fprintln(cmd.OutOrStdout(), "ambersill", version)
 		},
-	})
+	}, standinCommand())
 	return cmd
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,14 +71,14 @@
 func Load(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	var s Settings
 	if err := toml.Unmarshal(b, &s); err != nil {
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return &s, nil
 }
