--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -20,7 +21,7 @@
 	for len(queues) > 0 {
 		best := 0
 		for i := 1; i < len(queues); i++ {
-			if queues[i].before(queues[best]) {
+			if p.before(queues[i], queues[best]) {
 				best = i
 			}
 		}
@@ -58,7 +59,7 @@
 	return l
 }
 
-func (q *queue) before(o *queue) bool {
+func (p *Part) before(q, o *queue) bool {
 	a, b := q.jobs[0], o.jobs[0]
 	if a.covered != b.covered {
 		return a.covered
@@ -66,23 +67,26 @@
 	if x, y := a.Rank.Level(), b.Rank.Level(); x != y {
 		return x > y
 	}
-	if x, y := q.load(), o.load(); x != y {
+	// Shares are compared in steps, since even shares to the last bit would have
+	// all teams' jobs end late together.
+	if x, y := math.Floor(q.load()/p.t.LoadStep), math.Floor(o.load()/p.t.LoadStep); x != y {
 		return x < y
 	}
-	return earlier(a, b)
+	return p.earlier(a, b)
 }
 
-// due is when a job should be over; without a deadline, a moderate time after
-// its submission, so that old work does not starve behind deadlines.
-func due(j *Job) time.Time {
+// due is when a job's turn is. Without a deadline, little work comes before much:
+// that gets the most jobs over in good time, and age still wins in the end.
+func (p *Part) due(j *Job) time.Time {
 	if j.Deadline > 0 {
 		return j.At.Add(tuning.Seconds(j.Deadline - j.Estimate))
 	}
-	return j.At
+	work := float64(j.Tasks-j.done) * j.Estimate * max(j.CPUs, 1)
+	return j.At.Add(tuning.Seconds(p.t.WorkWeight * work))
 }
 
-func earlier(a, b *Job) bool {
-	if x, y := due(a), due(b); !x.Equal(y) {
+func (p *Part) earlier(a, b *Job) bool {
+	if x, y := p.due(a), p.due(b); !x.Equal(y) {
 		return x.Before(y)
 	}
 	return a.ID < b.ID
@@ -125,7 +129,7 @@
 			if l, m := x.Rank.Level(), y.Rank.Level(); l != m {
 				return l > m
 			}
-			return earlier(x, y)
+			return p.earlier(x, y)
 		})
 		if len(q.jobs) > 0 {
 			out = append(out, q)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -64,6 +64,12 @@
 	SickErrors int
 	// PreemptGapS: seconds before the same job may stop others again.
 	PreemptGapS float64
+	// WorkWeight: seconds that a job's turn comes later for each CPU-second of
+	// work that it has left.
+	WorkWeight float64
+	// LoadStep: how much of its guarantee, or of a usual machine without one, a
+	// team may use more than another and still be its equal.
+	LoadStep float64
 	// ConsolidateS: seconds between two attempts to empty a machine.
 	ConsolidateS float64
 	// OrdinaryCostS: seconds of image fetch that it is worth to keep work that
@@ -92,7 +98,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, FinalCache: 4096,
 	}
 }
