--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -185,7 +185,12 @@
 func (c *Controller) keepMembership(ctx context.Context) error {
 	every := tuning.Seconds(c.t.HoldS / 4)
 	var extended time.Time
+	away := false
 	for ctx.Err() == nil {
+		if d := c.store.SinceContact(); away != (d > tuning.Seconds(c.t.FreshS)) {
+			away = !away
+			slog.Info("contact to the state service", "lost", away, "since_s", d.Seconds())
+		}
 		if c.hold == 0 {
 			h, err := c.store.Grant(ctx, tuning.Seconds(c.t.HoldS))
 			if err != nil {
