Reports are relayed to the owner when their workers cannot reach it

Cause: a controller that loses only the workers kept its part, and sent nobody's report elsewhere: all leases ran out and all its machines went back. A worker that comes back to a node which has just sent it to the owner is relayed by mesh. Besides: machines count as gone only when missing from more lists than the list's lag explains; rentals and returns fit txn_ops; names of types are bounded together.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,7 +38,8 @@
 	owned    map[int]*owned
 	hold     uint64
 	finals   map[string]core.JobRecord
-	addrs    map[string]string // where machines can be reached, by their reports or the cloud's list
+	addrs    map[string]string // where machines can be reached, by their reports or the list
+	bounces  map[string]bounce // workers sent to their owners, by machine
 	restPart map[int]time.Time // parts not to be claimed again at once
 }
 
@@ -47,7 +48,7 @@
 	st := s.Cluster.State
 	c := &Controller{
 		s: s, t: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
-		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, restPart: map[int]time.Time{},
+		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, bounces: map[string]bounce{}, restPart: map[int]time.Time{},
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
@@ -430,6 +431,7 @@
 	all := c.ownedParts()
 	if gone {
 		delete(c.addrs, id)
+		delete(c.bounces, id)
 	}
 	c.mu.Unlock()
 	for _, o := range all {
--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -303,6 +303,31 @@
 	})
 }
 
+// A controller that loses the workers, but not the others, must not cost the work
+// that runs: its workers' reports come by way of another node.
+func TestReportsAreRelayed(t *testing.T) {
+	play(t, 2, 1, false, func(d *day) {
+		j := &wire.Job{ID: "req-000001", Class: "c", Team: "free", Shape: wire.Array, Rank: "standard", Tasks: 6, CPUs: 4, RAM: 4,
+			Image: "img", ImageGB: 1, Estimate: 120}
+		d.submit(j, 0)
+		time.Sleep(time.Minute)
+		if d.world.Starts() != 6 {
+			d.t.Fatalf("%d tasks started", d.world.Starts())
+		}
+		for _, n := range d.nodes[:2] { // one of the two may own the part, the third can
+			d.fabric.Cut(n.Name, "workers", true)
+		}
+		time.Sleep(50 * time.Second)
+		for _, n := range d.nodes[:2] {
+			d.fabric.Cut(n.Name, "workers", false)
+		}
+		d.finish(10 * time.Minute)
+		if d.world.Starts() != 6 {
+			d.t.Errorf("%d starts of 6 tasks", d.world.Starts())
+		}
+	})
+}
+
 func TestRoughDays(t *testing.T) {
 	seeds := 6
 	if n, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -343,6 +343,10 @@
 	for _, t := range l.c.catalog() {
 		boot[t.Name] = t.BootS
 	}
+	// A list may be older than the one before by as much as it lags, so a machine
+	// can be missing from some although it is there.
+	gone := 3 + int(l.c.s.Cluster.Cloud.ListLagS/l.c.t.ListS)
+	most := min(tuning.MaxRent, l.c.s.Cluster.State.TxnOps)
 	var back []string
 	why := ""
 	for _, id := range ids {
@@ -355,14 +359,14 @@
 			reason = "let go"
 		case listed && m.State == wire.Failed:
 			reason = "failed"
-		case l.absent[id] >= 3:
+		case l.absent[id] >= gone:
 			reason = "no longer listed"
 		case bad[id]:
 			reason = "faulty or silent"
 		case late && !up[id] && !(listed && m.State == wire.Up):
 			reason = "did not come up"
 		}
-		if reason != "" && len(back) < 8 {
+		if reason != "" && len(back) < most {
 			back = append(back, id)
 			why = reason
 		}
@@ -440,8 +444,10 @@
 	plan := l.fleet.Plan(in, now)
 	slog.Debug("sizing", "target", plan.Target, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
 	for _, r := range plan.Rentals {
-		for n := r.Count; n > 0; n -= tuning.MaxRent {
-			l.record(ctx, r, min(n, tuning.MaxRent))
+		// The machines and the rental's end must fit one transaction.
+		most := min(tuning.MaxRent, l.c.s.Cluster.State.TxnOps-1)
+		for n := r.Count; n > 0; n -= most {
+			l.record(ctx, r, min(n, most))
 		}
 	}
 	for _, m := range plan.Moves {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -267,38 +267,94 @@
 	}
 }
 
-// Report answers a worker.
+// Report answers a worker, or names the node that does.
 func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
+	c.learn(r.Machine, r.Addr)
 	e, known := c.cluster.machine(r.Machine)
-	if known {
-		c.learn(r.Machine, r.Addr)
-	} else {
+	if !known {
 		return wire.ReportReply{}, "", false
 	}
+	if c.ownedPart(e.rec.Part) != nil {
+		reply, ok := c.Relay(r)
+		return reply, "", ok
+	}
+	n := c.cluster.snapshotOwner(e.rec.Part).node
+	p := c.peers[n]
+	if p == nil {
+		return wire.ReportReply{}, "", false
+	}
+	if c.comesBack(r.Machine, n) {
+		var a mesh.Relayed
+		if err := p.Call("Mesh.Report", *r, &a, relayLimit); err == nil && a.OK {
+			return a.Reply, "", true
+		}
+	}
+	return wire.ReportReply{}, n, false
+}
+
+const (
+	// relayLimit bounds a relayed report; workers wait 4 s.
+	relayLimit = 1500 * time.Millisecond
+	// relayFor is how long reports are relayed before the worker is sent to its
+	// owner again, to see whether the way is open.
+	relayFor = 30 * time.Second
+)
+
+// bounce is a worker's last redirection, and since when it is relayed for.
+type bounce struct {
+	node    string
+	at      time.Time
+	relayed time.Time
+}
+
+// comesBack tells whether a worker was sent to that node shortly before: then it
+// cannot reach it, as when a cut lies between the two but not between the
+// nodes. Without a relay its lease would run out, and its work be lost.
+func (c *Controller) comesBack(machine, node string) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.bounces[machine]
+	if ok && b.node == node && now.Sub(b.at) < relayFor/2 {
+		if b.relayed.IsZero() {
+			b.relayed = now
+		}
+		if now.Sub(b.relayed) < relayFor {
+			b.at = now
+			c.bounces[machine] = b
+			return true
+		}
+	}
+	c.bounces[machine] = bounce{node: node, at: now}
+	return false
+}
+
+// Relay answers a report as the owner of its machine's part.
+func (c *Controller) Relay(r *wire.Report) (wire.ReportReply, bool) {
+	e, known := c.cluster.machine(r.Machine)
+	if !known {
+		return wire.ReportReply{}, false
+	}
 	o := c.ownedPart(e.rec.Part)
 	if o == nil {
-		n := c.cluster.snapshotOwner(e.rec.Part).node
-		if n == c.s.Node {
-			n = ""
-		}
-		return wire.ReportReply{}, n, false
+		return wire.ReportReply{}, false
 	}
 	w := c.s.Cluster.Workers
 	away := c.store.SinceContact()
 	if away > tuning.Seconds(w.CancelS-w.LeaseS-c.t.MarginS-w.ReportS) {
 		// Cancellations may have been told elsewhere; the leases must run out.
-		return wire.ReportReply{}, "", false
+		return wire.ReportReply{}, false
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.p == nil {
-		return wire.ReportReply{}, "", false
+		return wire.ReportReply{}, false
 	}
 	v, reply := o.p.Report(r, time.Now(), away < tuning.Seconds(c.t.FreshS))
 	if v != core.Accepted {
 		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
-		return reply, "", false
+		return reply, false
 	}
 	o.poke()
-	return reply, "", true
+	return reply, true
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// A report under an older token shows nothing of what an earlier owner's last
+// answer may still start; only one under the present token does.
+func TestAbsenceCountsOnlyUnderThePresentToken(t *testing.T) {
+	b := newBed()
+	b.rev++
+	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, b.rev, b.now)
+	b.add(array("req-1", 1, 1))
+	b.LoadChunk("req-1", 0, b.rev, ChunkRecord{Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}})
+	m := b.machines["m-1"]
+	b.Report(&wire.Report{Machine: "m-1", Session: 1, Seq: 1, Token: m.token - 1}, b.now, true)
+	if len(m.places) != 1 {
+		t.Fatal("freed by a report under an older token")
+	}
+	b.Report(&wire.Report{Machine: "m-1", Session: 1, Seq: 2, Token: m.token}, b.now, true)
+	if len(m.places) != 0 {
+		t.Fatal("not freed by a report under the present token")
+	}
+}
+
 // Reports that a cut held back are older than what is known, and must neither
 // count nor be answered; a higher token means another owner.
 func TestOldReportsAndHigherTokens(t *testing.T) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 
 	"ambersill/internal/config"
 	"ambersill/internal/transport"
+	"ambersill/internal/wire"
 
 	"golang.org/x/net/netutil"
 )
@@ -34,11 +35,19 @@
 	Contact float64
 }
 
+// Relayed is the answer to a worker's report that another node passed on.
+type Relayed struct {
+	OK    bool
+	Reply wire.ReportReply
+}
+
 // Handler takes in what others tell.
 type Handler interface {
 	Claimed(Claim)
 	View(job string) (done, running int, ok bool)
 	Contact() time.Duration
+	// Relay answers a report that reached another node.
+	Relay(r *wire.Report) (wire.ReportReply, bool)
 }
 
 // Service is the RPC face of a Handler.
@@ -59,6 +68,12 @@
 	return nil
 }
 
+// Report is called with a worker's report that its worker cannot bring itself.
+func (s *Service) Report(r wire.Report, a *Relayed) error {
+	a.Reply, a.OK = s.h.Relay(&r)
+	return nil
+}
+
 // maxPeers bounds the connections that others may hold to this node.
 const maxPeers = 32
 
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -103,7 +103,9 @@
 	maxTasks = 100000 // tasks in a job, by the protocol
 	maxName  = 200    // bytes in a name; larger ones could not be part of a record
 	maxTypes = 64     // machine types a job may name
-	maxDur   = 1e9    // seconds; more is no time at all
+	// maxTypeBytes bounds their names together, which stand in a record.
+	maxTypeBytes = 1024
+	maxDur       = 1e9 // seconds; more is no time at all
 )
 
 var jobID = regexp.MustCompile(`^req-[0-9]{1,18}$`)
@@ -157,8 +159,10 @@
 		if len(j.Types) == 0 || len(j.Types) > maxTypes {
 			return nil, errors.New("bad machine types")
 		}
+		sum := 0
 		for _, t := range j.Types {
-			if t == "" || len(t) > maxName {
+			sum += len(t)
+			if t == "" || sum > maxTypeBytes {
 				return nil, errors.New("bad machine type")
 			}
 		}
