--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -83,11 +83,7 @@
 			if o.price() == m.price() && o.size.share(o.used) < m.size.share(m.used) {
 				continue
 			}
-			fetch := 0.0
-			if _, ok := o.images[j.Image]; !ok && o.typ.FetchRate > 0 {
-				fetch = j.ImageGB / o.typ.FetchRate
-			}
-			if rest < 2*(fetch+j.Save) {
+			if rest < 2*(p.fetch(j, o)+j.Save) {
 				continue
 			}
 			r, ok := left[id]
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -81,7 +81,7 @@
 	if j.Deadline > 0 {
 		return j.At.Add(tuning.Seconds(j.Deadline - j.Estimate))
 	}
-	work := float64(j.Tasks-j.done) * j.Estimate * max(j.CPUs, 1)
+	work := (float64(j.Tasks-j.done)*j.Estimate + j.fetchS) * max(j.CPUs, 1)
 	return j.At.Add(tuning.Seconds(p.t.WorkWeight * work))
 }
 
@@ -118,6 +118,7 @@
 		q := &queue{team: t}
 		for _, j := range jobs {
 			if j.waiting > 0 && !j.broken && !now.Before(j.retryAt) {
+				j.fetchS = p.leastFetch(j)
 				q.jobs = append(q.jobs, j)
 			}
 		}
@@ -321,13 +322,35 @@
 	return out
 }
 
+// fetch is how many seconds a machine would take to fetch a job's image.
+func (p *Part) fetch(j *Job, m *Machine) float64 {
+	if _, ok := m.images[j.Image]; ok || m.typ.FetchRate <= 0 {
+		return 0
+	}
+	return j.ImageGB / m.typ.FetchRate
+}
+
+// leastFetch is the shortest fetch of a job's image among the machines that have
+// room for a task of it now. A job whose image is there goes before one that would
+// hold on to the machine while it fetches.
+func (p *Part) leastFetch(j *Job) float64 {
+	least := -1.0
+	for _, id := range p.order {
+		m := p.machines[id]
+		if !m.usable() || !m.free().holds(need(j.Job)) || !allowed(j.Job, m) {
+			continue
+		}
+		if f := p.fetch(j, m); least < 0 || f < least {
+			least = f
+		}
+	}
+	return max(0, least)
+}
+
 // cost orders machines for a task, in seconds: the image's fetch, then the
 // scarcer machine, then the emptier one, so that whole machines fall empty.
 func (p *Part) cost(j *Job, m *Machine, free Room) float64 {
-	c := 0.0
-	if _, ok := m.images[j.Image]; !ok && m.typ.FetchRate > 0 {
-		c += j.ImageGB / m.typ.FetchRate
-	}
+	c := p.fetch(j, m)
 	if j.GPUs == 0 && m.typ.GPUs > 0 {
 		c += 120
 	}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -100,8 +100,9 @@
 	// A search for room is repeated only after room has changed.
 	noRoom    int
 	preempted time.Time
-	held      bool // room is being made for it, so it is no demand for rentals
-	covered   bool // fits the guarantee with the team's earlier jobs
+	held      bool    // room is being made for it, so it is no demand for rentals
+	fetchS    float64 // seconds that its image's fetch takes at least, where it has room
+	covered   bool    // fits the guarantee with the team's earlier jobs
 }
 
 // Placement is a task that may be, or may come to be, on a machine.
