A kind that the cloud has refused is not called for again by rentals recorded before

Such rentals are dropped if nobody can have called for them; they are called for in the order of their recording; a kind of which a machine went back counts as refused no longer.

--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -329,6 +329,23 @@
 	})
 }
 
+// More is asked for than the cloud has: once it has refused a kind, the other
+// rentals recorded for that kind must not be called for one by one.
+func TestRefusedKindsAreNotCalledForAgain(t *testing.T) {
+	play(t, 3, 1, false, func(d *day) {
+		j := &wire.Job{ID: "req-000001", Class: "c", Team: "free", Shape: wire.Array, Rank: "standard", Tasks: 150, CPUs: 8, RAM: 4,
+			Image: "img", ImageGB: 1, Estimate: 120, Spot: true, Types: []string{"small"}}
+		d.submit(j, 0)
+		time.Sleep(25 * time.Second) // before kinds are asked for again
+		if n := len(d.cloud.Workers()); n == 0 {
+			d.t.Error("nothing rented")
+		}
+		if n := d.cloud.Refusals(); n > 4 {
+			d.t.Errorf("%d refused calls for four kinds", n)
+		}
+	})
+}
+
 func TestRoughDays(t *testing.T) {
 	seeds := 6
 	if n, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -81,6 +81,7 @@
 	sums    map[int]core.Summary
 	round   time.Time
 	tried   map[string]time.Time // last call for a recorded rental
+	own     map[string]bool      // rentals recorded in this term
 	again   bool                 // size again at once
 }
 
@@ -91,7 +92,7 @@
 
 func newLeader(c *Controller, stamp uint64) *leader {
 	return &leader{c: c, stamp: stamp, fleet: core.NewFleet(&c.t), listed: map[string]wire.CloudMachine{}, absent: map[string]int{},
-		seen: map[string]bool{}, gone: map[string]time.Time{}, refused: map[core.Kind]refusal{}, sums: map[int]core.Summary{}, tried: map[string]time.Time{}}
+		seen: map[string]bool{}, gone: map[string]time.Time{}, refused: map[core.Kind]refusal{}, sums: map[int]core.Summary{}, tried: map[string]time.Time{}, own: map[string]bool{}}
 }
 
 // leads tells whether the lead's key still shows this term.
@@ -274,16 +275,32 @@
 		names = append(names, n)
 	}
 	l.c.cluster.mu.Unlock()
-	sort.Strings(names)
+	// In the order of their recording, which is that of need.
+	sort.Slice(names, func(a, b int) bool {
+		x, y := names[a], names[b]
+		if i, j := hires[x].rec.At, hires[y].rec.At; i != j {
+			return i < j
+		}
+		return len(x) < len(y) || (len(x) == len(y) && x < y)
+	})
 	for _, name := range names {
 		h := hires[name]
 		if at, ok := l.tried[name]; ok && time.Since(at) < 2*time.Second {
 			continue
 		}
-		l.tried[name] = time.Now()
 		kind := core.Kind{Type: h.rec.Type, Zone: h.rec.Zone, Spot: h.rec.Spot}
-		ids, err := l.c.cloud.Rent(ctx, wire.RentRequest{Request: name, Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Count: h.rec.Count})
 		key := hirePrefix + name
+		if _, called := l.tried[name]; !called && l.own[name] && time.Now().Before(l.refused[kind].until) {
+			// The cloud has refused this kind since, and has not heard of this
+			// rental: nobody but this leader could have called it.
+			if rev, err := l.commit(ctx, []wire.Cond{{Key: key, Stamp: h.stamp}}, []wire.Write{{Delete: key}}); err == nil {
+				l.c.cluster.apply(key, nil, rev, true)
+				delete(l.own, name)
+			}
+			continue
+		}
+		l.tried[name] = time.Now()
+		ids, err := l.c.cloud.Rent(ctx, wire.RentRequest{Request: name, Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Count: h.rec.Count})
 		conds := []wire.Cond{{Key: key, Stamp: h.stamp}}
 		then := []wire.Write{{Delete: key}}
 		switch {
@@ -316,6 +333,8 @@
 			continue
 		}
 		l.c.cluster.apply(key, nil, rev, true)
+		delete(l.own, name)
+		delete(l.tried, name)
 		for _, w := range then[1:] {
 			l.c.cluster.apply(w.Put, must(wire.Marshal(w.Value)), rev, false)
 		}
@@ -399,6 +418,8 @@
 	for _, id := range ids {
 		l.gone[id] = time.Now()
 		if e, ok := l.c.cluster.machine(id); ok {
+			// There is room again for its like.
+			delete(l.refused, core.Kind{Type: e.rec.Type, Zone: e.rec.Zone, Spot: e.rec.Spot})
 			conds = append(conds, wire.Cond{Key: machinePrefix + id, Stamp: e.stamp})
 			then = append(then, wire.Write{Delete: machinePrefix + id})
 		}
@@ -478,6 +499,7 @@
 	// carried out late.
 	name := fmt.Sprintf("r-%d-%d", l.stamp, l.next)
 	l.next++
+	l.own[name] = true
 	rec := core.HireRecord{Type: r.Kind.Type, Zone: r.Kind.Zone, Spot: r.Kind.Spot, Count: n, Part: r.Part, At: time.Now().UnixMilli()}
 	key := hirePrefix + name
 	rev, err := l.commit(ctx, []wire.Cond{{Key: key, Stamp: 0}}, []wire.Write{{Put: key, Value: rec}})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -443,6 +443,39 @@
 	})
 }
 
+// Of two jobs that would each fill the only machine, the one whose image is there
+// goes first, for the other would hold the machine while it fetches; but age wins
+// in the end.
+func TestImageAtHandGoesFirst(t *testing.T) {
+	for _, c := range []struct {
+		head time.Duration // by which the job without its image is older
+		want string
+	}{{time.Second, "req-3"}, {10 * time.Minute, "req-2"}} {
+		b := newBed()
+		b.machine("m-1", "gpu", "a", false)
+		whole := func(id, image string) wire.Job {
+			j := array(id, 1, 16)
+			j.GPUs, j.Image, j.ImageGB = 4, image, 20
+			return j
+		}
+		b.add(whole("req-1", "x"))
+		b.Schedule(b.now)
+		b.commit()
+		b.report("m-1")
+		b.add(whole("req-2", "y"))
+		b.now = b.now.Add(c.head)
+		b.add(whole("req-3", "x"))
+		b.end("m-1", "req-1/0", 1, wire.CauseDone)
+		b.report("m-1")
+		b.Schedule(b.now)
+		for _, id := range []string{"req-2", "req-3"} {
+			if got := len(b.jobs[id].placed) == 1; got != (id == c.want) {
+				t.Errorf("%v older: %s placed: %v", c.head, id, got)
+			}
+		}
+	}
+}
+
 // Sizing against the two terms written down plainly, for like tasks of one type.
 func TestSizingAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -42,6 +42,7 @@
 	next     int
 	machines map[string]*rented
 	hires    map[string][]string
+	refusals int
 	shots    []shot
 }
 
@@ -104,6 +105,13 @@
 	}
 }
 
+// Refusals counts the rentals for which there was no room.
+func (c *Cloud) Refusals() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals
+}
+
 func (c *Cloud) doRent(q wire.RentRequest) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,6 +131,7 @@
 	}
 	n := min(q.Count, free)
 	if n <= 0 {
+		c.refusals++
 		return nil
 	}
 	var ids []string
