--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -38,6 +38,7 @@
 	wg     sync.WaitGroup
 	ended  map[string]wire.Phase
 	calm   atomic.Bool // nothing is lost any more
+	open   bool        // no team has limits or guarantees, so that jobs are parted
 }
 
 var dayTypes = []wire.MachineType{
@@ -46,7 +47,7 @@
 }
 
 func newDay(t *testing.T, ctx context.Context, seed uint64) *day {
-	d := &day{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, fabric: standin.NewFabric(), state: standin.NewState(),
+	d := &day{open: seed%3 == 2, t: t, rnd: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, fabric: standin.NewFabric(), state: standin.NewState(),
 		up: map[int]func(){}, ended: map[string]wire.Phase{}, tune: tuning.Default()}
 	for i := range 3 {
 		d.nodes = append(d.nodes, standin.Node{Name: fmt.Sprintf("node-%d", i), Addr: fmt.Sprintf("10.0.0.%d:8080", i+1)})
@@ -95,6 +96,9 @@
 	c := &s.Cluster
 	c.Count, c.Zones = 3, []string{"a", "b"}
 	c.Teams = []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", CPUsMax: 40}, {Name: "free"}}
+	if d.open {
+		c.Teams = []config.Team{{Name: "red"}, {Name: "blue"}, {Name: "free"}}
+	}
 	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.GangWaitS, c.Workers.GangPeerS, c.Workers.CancelS = 2, 14, 35, 5, 44
 	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 150, 50, 8, 12
 	c.Cloud.RPS, c.Cloud.ListLagS = 5, 4
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -112,28 +112,22 @@
 }
 
 // partOf says which part a job belongs to: its team's where teams have limits
-// or guarantees, so that one owner enforces them alone, else by the job.
+// or guarantees, so that one owner enforces them alone. Else jobs that compete for
+// the same types of machine share a part, since types that are split among parts
+// strand room.
 func (c *Controller) partOf(j *wire.Job) int {
-	key := j.ID
 	for _, t := range c.s.Cluster.Teams {
-		if t.CPUs > 0 || t.CPUsMax > 0 || t.GPUs > 0 || t.GPUsMax > 0 {
-			key = ""
-			break
-		}
-	}
-	if key != "" {
-		n := 0
-		for _, b := range []byte(key) {
-			n = (n*31 + int(b)) & 0xffffff
+		if t.CPUs == 0 && t.CPUsMax == 0 && t.GPUs == 0 && t.GPUsMax == 0 {
+			continue
 		}
-		return n % c.parts
-	}
-	for i, t := range c.s.Cluster.Teams {
-		if t.Name == j.Team {
-			return i % c.parts
+		for i, t := range c.s.Cluster.Teams {
+			if t.Name == j.Team {
+				return i % c.parts
+			}
 		}
+		return 0
 	}
-	return 0
+	return core.Competes(j, c.catalog()) % c.parts
 }
 
 // Submit takes a job in.
--- a/internal/core/check.go
+++ b/internal/core/check.go
@@ -5,6 +5,19 @@
 	"ambersill/internal/wire"
 )
 
+// Competes numbers the machine types that a job is meant for by the first of them
+// in the catalog's order. Types with GPUs are not meant for work without, if there
+// are others.
+func Competes(j *wire.Job, types []wire.MachineType) int {
+	plain := hasPlain(Demand{Types: j.Types, CPUs: j.CPUs, GPUs: j.GPUs, RAM: j.RAM}, types)
+	for i, t := range types {
+		if typeAllowed(j.Types, t.Name) && size(t).holds(need(j)) && (j.GPUs > 0 || t.GPUs == 0 || !plain) {
+			return i
+		}
+	}
+	return 0
+}
+
 // Impossible says why a job can never run; "" if it can.
 func Impossible(j *wire.Job, s *config.Settings, types []wire.MachineType) string {
 	c, ok := s.Team(j.Team)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -577,6 +577,26 @@
 	}
 }
 
+// Jobs that want the same machines share a part, and work without GPUs does not
+// follow the GPUs.
+func TestCompetingJobsShareAPart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		j    wire.Job
+		want int
+	}{
+		{"small", wire.Job{CPUs: 1}, 0},
+		{"with a GPU", wire.Job{CPUs: 1, GPUs: 1}, 1},
+		{"whole GPU machine", wire.Job{CPUs: 16, GPUs: 4}, 1},
+		{"named type", wire.Job{CPUs: 1, Types: []string{"gpu"}}, 1},
+		{"too large for the plain type", wire.Job{CPUs: 12}, 1},
+	} {
+		if got := Competes(&c.j, testTypes); got != c.want {
+			t.Errorf("%s: %d", c.name, got)
+		}
+	}
+}
+
 func TestImpossibleJobs(t *testing.T) {
 	s := testSettings()
 	for _, c := range []struct {
