--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -409,14 +409,9 @@
 			}
 		}
 		vs := victims(m)
-		// The lower rank goes first: work that a guarantee displaces may be of the
-		// same rank as the job. A start that is stopped at once does not count, so
-		// settled tasks that can save go before others; of those, the ones that
-		// have run the least lose the least.
+		// A start that is stopped at once does not count, so settled tasks that can
+		// save go first; of the others those that have run the least lose the least.
 		sort.SliceStable(vs, func(a, b int) bool {
-			if x, y := vs[a].job.Rank.Level(), vs[b].job.Rank.Level(); x != y {
-				return x < y
-			}
 			x, y := p.settled(vs[a], now), p.settled(vs[b], now)
 			if x != y {
 				return x
