--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -2,11 +2,9 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -53,27 +51,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var rd io.Reader
-	if body != nil {
-		b, err := wire.Marshal(body)
-		if err != nil {
-			return err
-		}
-		rd = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := c.http.Do(req)
+	resp, err := transport.Send(ctx, c.http, method, c.base+path, body)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrTrouble, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusOK {
 		if out == nil {
-			io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+			transport.Discard(resp)
 			return nil
 		}
 		if err := wire.ReadReply(resp.Body, out); err != nil {
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -11,6 +11,7 @@
 
 	"ambersill/internal/core"
 	"ambersill/internal/store"
+	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 )
 
@@ -188,7 +189,7 @@
 		items, rev, err := st.List(ctx, prefix)
 		if err != nil {
 			slog.Debug("listing failed", "prefix", prefix, "err", err)
-			pause(ctx, 500*time.Millisecond)
+			transport.Pause(ctx, 500*time.Millisecond)
 			continue
 		}
 		list(items, rev)
@@ -205,7 +206,7 @@
 			return
 		case err != nil:
 			slog.Debug("watch failed", "prefix", prefix, "err", err)
-			pause(ctx, 300*time.Millisecond)
+			transport.Pause(ctx, 300*time.Millisecond)
 			continue
 		}
 		for _, e := range r.Events {
@@ -215,16 +216,6 @@
 	}
 }
 
-// pause waits, but not beyond the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (c *cluster) snapshotOwner(part int) owner {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -128,7 +128,7 @@
 		types, err := c.cloud.Catalog(ctx)
 		if err != nil || len(types) == 0 {
 			slog.Debug("catalog not read", "err", err)
-			pause(ctx, time.Second)
+			transport.Pause(ctx, time.Second)
 			continue
 		}
 		c.mu.Lock()
@@ -142,7 +142,7 @@
 			}
 			o.mu.Unlock()
 		}
-		pause(ctx, 30*time.Second)
+		transport.Pause(ctx, 30*time.Second)
 	}
 	return nil
 }
@@ -195,7 +195,7 @@
 		if c.hold == 0 {
 			h, err := c.store.Grant(ctx, tuning.Seconds(c.t.HoldS))
 			if err != nil {
-				pause(ctx, 300*time.Millisecond)
+				transport.Pause(ctx, 300*time.Millisecond)
 				continue
 			}
 			c.setHold(h)
@@ -218,7 +218,7 @@
 				continue
 			default:
 				slog.Debug("hold not renewed", "err", err)
-				pause(ctx, 200*time.Millisecond)
+				transport.Pause(ctx, 200*time.Millisecond)
 				continue
 			}
 		}
@@ -285,7 +285,7 @@
 		}
 		fair := (c.parts + max(nodes, 1) - 1) / max(nodes, 1)
 		if counts[c.s.Node] >= fair {
-			pause(ctx, time.Second)
+			transport.Pause(ctx, time.Second)
 			if c.cluster.snapshotOwner(i).node != "" {
 				continue
 			}
@@ -451,7 +451,7 @@
 // keepLog writes a line of counters now and then.
 func (c *Controller) keepLog(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, 30*time.Second)
+		transport.Pause(ctx, 30*time.Second)
 		var ms runtime.MemStats
 		runtime.ReadMemStats(&ms)
 		ok, refused, unknown := c.store.Counts()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -11,6 +11,7 @@
 	"ambersill/internal/cloud"
 	"ambersill/internal/core"
 	"ambersill/internal/store"
+	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
@@ -34,7 +35,7 @@
 				slog.Debug("lead not claimed", "err", err)
 			}
 		}
-		pause(ctx, 300*time.Millisecond)
+		transport.Pause(ctx, 300*time.Millisecond)
 	}
 	return nil
 }
@@ -112,7 +113,7 @@
 			l.round, l.again = now, false
 			l.size(ctx)
 		}
-		pause(ctx, 250*time.Millisecond)
+		transport.Pause(ctx, 250*time.Millisecond)
 	}
 	slog.Info("no longer leading", "stamp", l.stamp)
 }
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -10,6 +10,7 @@
 
 	"ambersill/internal/core"
 	"ambersill/internal/store"
+	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
@@ -51,7 +52,7 @@
 			break
 		}
 		slog.Info("part not read yet", "part", o.index, "err", err)
-		pause(o.ctx, 300*time.Millisecond)
+		transport.Pause(o.ctx, 300*time.Millisecond)
 	}
 	if o.ctx.Err() != nil {
 		return
@@ -69,7 +70,7 @@
 		case <-tick.C:
 		}
 		o.pass()
-		pause(o.ctx, gap)
+		transport.Pause(o.ctx, gap)
 	}
 }
 
@@ -214,7 +215,7 @@
 		// Too far behind: what was missed stands in the part's records.
 		rev, err := o.reread()
 		if err != nil {
-			pause(o.ctx, 500*time.Millisecond)
+			transport.Pause(o.ctx, 500*time.Millisecond)
 			continue
 		}
 		o.watchJobs(rev)
@@ -318,7 +319,7 @@
 		return true
 	}
 	if errors.Is(err, store.ErrRefused) {
-		pause(o.ctx, 100*time.Millisecond)
+		transport.Pause(o.ctx, 100*time.Millisecond)
 		return false
 	}
 	var conflict *store.Conflict
@@ -341,7 +342,7 @@
 	for o.ctx.Err() == nil {
 		it, err := o.c.store.Get(o.ctx, key)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			pause(o.ctx, 300*time.Millisecond)
+			transport.Pause(o.ctx, 300*time.Millisecond)
 			continue
 		}
 		if key == core.PartKey(o.index) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,11 +3,9 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -107,20 +105,7 @@
 }
 
 func (c *Client) do(ctx context.Context, cl *http.Client, method, path string, body, out any) error {
-	var rd io.Reader
-	if body != nil {
-		b, err := wire.Marshal(body)
-		if err != nil {
-			return err
-		}
-		rd = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := cl.Do(req)
+	resp, err := transport.Send(ctx, cl, method, c.base+path, body)
 	if err != nil {
 		c.count(&c.calls.unknown)
 		return fmt.Errorf("%w: %v", ErrUnknown, err)
@@ -129,7 +114,7 @@
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		c.count(&c.calls.refused)
-		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		transport.Discard(resp)
 		return fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	}
 	// Any other answer shows that the service serves this node.
@@ -138,7 +123,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		if out == nil {
-			io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+			transport.Discard(resp)
 			return nil
 		}
 		if err := wire.ReadReply(resp.Body, out); err != nil {
@@ -146,10 +131,10 @@
 		}
 		return nil
 	case http.StatusNotFound:
-		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		transport.Discard(resp)
 		return ErrNotFound
 	case http.StatusGone:
-		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		transport.Discard(resp)
 		return ErrCompacted
 	case http.StatusConflict:
 		var r wire.TxnReply
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,10 +3,14 @@
 package transport
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"ambersill/internal/wire"
 )
 
 // Net makes and takes connections.
@@ -44,3 +48,39 @@
 		DisableCompression:  true,
 	}}
 }
+
+// Send sends a message, or a request without a body if it is nil. The caller
+// closes the answer's body.
+func Send(ctx context.Context, cl *http.Client, method, url string, message any) (*http.Response, error) {
+	var body io.Reader
+	if message != nil {
+		b, err := wire.Marshal(message)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	return cl.Do(req)
+}
+
+// Discard reads a short answer's body to its end, so that its connection can
+// be used again.
+func Discard(r *http.Response) { _, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscard)) }
+
+// maxDiscard is the longest body, in bytes, that is read only to be dropped.
+const maxDiscard = 4096
+
+// Pause waits, but not beyond the context.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -115,7 +115,7 @@
 	TaskBytes = 64
 	// TxnBytes: bytes that one transaction may take; the service allows 64 KiB.
 	TxnBytes = 48 << 10
-	// UserConns: sockets left for everything but users and workers.
+	// SpareSockets: sockets left for everything but users and workers.
 	SpareSockets = 100
 	// ReadTimeout: for a request's body; slow senders must not hold sockets.
 	ReadTimeout = 10 * time.Second
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -2,7 +2,6 @@
 package worker
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -31,16 +30,7 @@
 func (c *Client) Order(ctx context.Context, addr string, o wire.Orders) (r *wire.Report, executed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	b, err := wire.Marshal(o)
-	if err != nil {
-		return nil, false, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(b))
-	if err != nil {
-		return nil, false, err
-	}
-	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := c.http.Do(req)
+	resp, err := transport.Send(ctx, c.http, http.MethodPost, "http://"+addr+"/orders", o)
 	if err != nil {
 		return nil, false, err
 	}
