--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -91,6 +91,10 @@
 	if err != nil {
 		return 0, err
 	}
+	journal, _, err := c.store.List(o.ctx, core.JournalPrefix(o.index))
+	if err != nil {
+		return 0, err
+	}
 	marks, _, err := c.store.List(o.ctx, core.CancelPrefix(o.index))
 	if err != nil {
 		return 0, err
@@ -105,13 +109,7 @@
 		}
 		p.SetMachine(it.Key[len(machinePrefix):], r, it.Stamp, now)
 	}
-	type loaded struct {
-		id    string
-		index int
-		stamp uint64
-		rec   core.ChunkRecord
-	}
-	var all []loaded
+	var all []core.LoadedChunk
 	for _, it := range chunks {
 		id, index, ok := core.SplitChunkKey(it.Key)
 		var r core.ChunkRecord
@@ -119,14 +117,18 @@
 			slog.Error("record not understood", "key", it.Key, "err", err)
 			continue
 		}
-		if index == 0 && r.Job != nil {
-			p.AddJob(r.Job, time.UnixMilli(r.At), it.Stamp)
-		}
-		all = append(all, loaded{id, index, it.Stamp, r})
+		all = append(all, core.LoadedChunk{Job: id, Index: index, Stamp: it.Stamp, Record: r})
 	}
-	for _, l := range all {
-		p.LoadChunk(l.id, l.index, l.stamp, l.rec)
+	var slots []core.LoadedSlot
+	for _, it := range journal {
+		var r core.JournalRecord
+		if err := wire.Unmarshal(it.Value, &r); err != nil {
+			slog.Error("record not understood", "key", it.Key, "err", err)
+			continue
+		}
+		slots = append(slots, core.LoadedSlot{Stamp: it.Stamp, Record: r})
 	}
+	p.Load(all, slots)
 	for _, it := range marks {
 		p.Cancel(it.Key[len(core.CancelPrefix(o.index)):], now)
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -50,8 +50,12 @@
 
 // Batch is a set of changes of a part on its way to the state service.
 type Batch struct {
-	Txn    wire.Txn
-	chunks []chunkWrite
+	Txn wire.Txn
+	// slots are the numbers of its journal records, entries what those hold, folds
+	// the chunks whose own records it writes.
+	slots   []uint64
+	entries []entryWrite
+	folds   []foldWrite
 	// ended is the job whose end the batch commits, removed the one whose
 	// last records it deletes.
 	ended *Job
@@ -59,11 +63,18 @@
 	cleaned []*chunk
 }
 
-type chunkWrite struct {
+type foldWrite struct {
 	c       *chunk
 	version int
 }
 
+type entryWrite struct {
+	c       *chunk
+	version int
+	seq     uint64
+	tasks   []int
+}
+
 // Empty tells whether there is nothing to commit.
 func (b *Batch) Empty() bool { return len(b.Txn.Then) == 0 }
 
@@ -77,7 +88,7 @@
 	r.Done = ranges(c.from, c.to, func(i int) bool { return j.tasks[i] == done })
 	for t, pl := range j.placed {
 		if t >= c.from && t < c.to && j.tasks[t] != done {
-			r.Live = append(r.Live, LiveRecord{Task: t, Try: pl.try, Machine: pl.machine.ID, Session: pl.session})
+			r.Live = append(r.Live, pl.live())
 		}
 	}
 	sort.Slice(r.Live, func(a, b int) bool { return r.Live[a].Task < r.Live[b].Task })
@@ -96,7 +107,8 @@
 	return n
 }
 
-// Batch gathers changes for one transaction: ends of jobs first, then chunks.
+// Batch gathers changes for one transaction: the end of a job first, chunks that
+// the journal's ring makes due, the journal, and records that are to go.
 func (p *Part) Batch() *Batch {
 	ops := p.s.Cluster.State.TxnOps
 	b := &Batch{}
@@ -116,68 +128,67 @@
 		size += 1000
 		break
 	}
+	if p.fold(b, &size, ops) {
+		p.journal(b, &size, ops)
+	}
 	for _, j := range p.ending {
 		for _, c := range j.chunks {
-			if c.index == 0 || c.stamp == 0 || len(b.Txn.Then) >= ops {
-				continue
+			if c.index > 0 && c.stamp > 0 && len(b.Txn.Then) < ops {
+				p.discard(b, c)
 			}
-			b.Txn.If = append(b.Txn.If, wire.Cond{Key: ChunkKey(p.Index, j.ID, c.index), Stamp: c.stamp})
-			b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: ChunkKey(p.Index, j.ID, c.index)})
-			b.cleaned = append(b.cleaned, c)
 		}
 	}
 	for _, id := range ids {
-		j := p.jobs[id]
-		if j.final || j == b.ended {
-			continue
+		if j := p.jobs[id]; !j.final && j.dropping() && len(b.Txn.Then)+2 <= ops {
+			p.forget(b, j, ops)
 		}
-		if j.Cancelled && len(j.placed) == 0 && len(b.Txn.Then)+3 <= ops {
-			// All of it is gone: drop its records, the mark last of all.
-			left := 0
-			for _, c := range j.chunks {
-				if c.stamp == 0 {
-					continue
-				}
-				if len(b.Txn.Then)+2 > ops {
-					left++
-					continue
-				}
-				b.Txn.If = append(b.Txn.If, wire.Cond{Key: ChunkKey(p.Index, id, c.index), Stamp: c.stamp})
-				b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: ChunkKey(p.Index, id, c.index)})
-				b.cleaned = append(b.cleaned, c)
-			}
-			if left == 0 {
-				b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: CancelKey(p.Index, id)})
-				if b.ended == nil {
-					b.ended = j
-				}
-			}
+	}
+	return b
+}
+
+// discard deletes a chunk's record.
+func (p *Part) discard(b *Batch, c *chunk) {
+	key := ChunkKey(p.Index, c.job.ID, c.index)
+	b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: c.stamp})
+	b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: key})
+	b.cleaned = append(b.cleaned, c)
+}
+
+// forget drops the records of a cancelled job, all of which is gone: the first
+// chunk, which makes it known to a new owner, and then the mark last of all.
+func (p *Part) forget(b *Batch, j *Job, ops int) {
+	for i := len(j.chunks) - 1; i >= 0; i-- {
+		c := j.chunks[i]
+		if c.stamp == 0 {
 			continue
 		}
-		for _, c := range j.chunks {
-			if !c.dirty() || len(b.Txn.Then) >= ops {
-				continue
-			}
-			rec := c.record()
-			if n := rec.bytes(); size > 0 && size+n > tuning.TxnBytes {
-				continue
-			} else {
-				size += n
-			}
-			key := ChunkKey(p.Index, id, c.index)
-			b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: c.stamp})
-			b.Txn.Then = append(b.Txn.Then, wire.Write{Put: key, Value: rec})
-			b.chunks = append(b.chunks, chunkWrite{c, c.version})
+		if len(b.Txn.Then)+2 > ops {
+			return
 		}
+		p.discard(b, c)
+	}
+	if b.ended == nil {
+		b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: CancelKey(p.Index, j.ID)})
+		b.ended = j
 	}
-	return b
 }
 
 // Committed notes that a batch is in the state service.
 func (p *Part) Committed(b *Batch, rev uint64) {
-	for _, w := range b.chunks {
-		w.c.stamp = rev
-		w.c.committed = max(w.c.committed, w.version)
+	for _, seq := range b.slots {
+		p.slots[p.slot(seq)] = rev
+	}
+	for _, w := range b.entries {
+		p.settle(w.c, w.version, w.tasks)
+		if w.c.oldest == 0 && !w.c.job.final {
+			w.c.oldest = w.seq
+			p.unfolded[w.c] = true
+		}
+	}
+	for _, w := range b.folds {
+		w.c.stamp, w.c.oldest = rev, 0
+		delete(p.unfolded, w.c)
+		p.settle(w.c, w.version, nil)
 	}
 	for _, c := range b.cleaned {
 		c.stamp = 0
@@ -207,6 +218,10 @@
 	}
 	p.over[j.ID] = true
 	j.chunks[0].stamp = 0
+	for _, c := range j.chunks {
+		delete(p.dirty, c)
+		delete(p.unfolded, c)
+	}
 	p.ending = append(p.ending, j)
 }
 
@@ -228,7 +243,13 @@
 		}
 		return
 	}
-	for _, w := range b.chunks {
+	for _, seq := range b.slots {
+		if key == p.journalKey(seq) {
+			p.slots[p.slot(seq)] = stamp
+			return
+		}
+	}
+	for _, w := range b.folds {
 		if key == ChunkKey(p.Index, w.c.job.ID, w.c.index) {
 			w.c.stamp = stamp
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -176,10 +176,10 @@
 		}
 		m := where[k]
 		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session}
-		c := pl.chunkOf(j)
-		c.version++
-		pl.version = c.version
 		p.attach(pl)
+		c := pl.chunk()
+		p.touch(c, i)
+		pl.version = c.version
 		m.images[j.Image] = now
 		p.trimImages(m)
 		if m.reserved == j.ID {
@@ -191,8 +191,6 @@
 	return j.waiting > 0 && j.Shape != wire.Gang
 }
 
-func (pl *Placement) chunkOf(j *Job) *chunk { return j.chunks[pl.task/j.chunkSize()] }
-
 // trimImages keeps the guess of a machine's cache to the most recently used.
 func (p *Part) trimImages(m *Machine) {
 	const most = 12 // images; the cloud's caches hold about as many
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -28,6 +28,8 @@
 	Try      uint64       `cbor:"try"`            // highest attempt given out
 	Done     []int        `cbor:"done,omitempty"` // ranges [from, to) of task numbers, flattened
 	Live     []LiveRecord `cbor:"live,omitempty"`
+	// Seq is the newest journal record whose changes are all in here.
+	Seq uint64 `cbor:"q,omitempty"`
 }
 
 // LiveRecord is a placement that may be in effect.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -146,7 +146,7 @@
 	}
 	j.tasks[task] = done
 	j.done++
-	j.chunks[task/j.chunkSize()].version++
+	p.touch(j.chunks[task/j.chunkSize()], task)
 	p.Finished++
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -73,10 +73,14 @@
 	stamp     uint64 // of the key, as last read or written
 	version   int    // counts changes in memory
 	committed int    // version known to be in the state service
+	// touched are the tasks with changes that are not committed, by the version
+	// of their last one; since orders chunks by how long they have any.
+	touched map[int]int
+	since   int
+	// oldest journal record with something that the chunk's own lacks; 0: none.
+	oldest uint64
 }
 
-func (c *chunk) dirty() bool { return c.version > c.committed }
-
 // Job is a job that is not over, with the state of its tasks.
 type Job struct {
 	*wire.Job
@@ -239,6 +243,13 @@
 	ending []*Job
 	order  []string        // machine names, sorted
 	over   map[string]bool // jobs that ended here, so that a late word of their submission does not revive them
+	// The journal: the last number given out, the stamps of its keys, the chunks
+	// with changes to record and those whose records lack some of it.
+	seq      uint64
+	slots    []uint64
+	dirty    map[*chunk]bool
+	unfolded map[*chunk]bool
+	touches  int
 	// stats for the log line
 	Started, Finished, Requeued, Preempted, Moved int
 	consolidated                                  time.Time
@@ -247,7 +258,7 @@
 // NewPart makes an empty part owned under the given stamp.
 func NewPart(index int, stamp uint64, s *config.Settings, t *tuning.Tuning) *Part {
 	p := &Part{Index: index, Stamp: stamp, s: s, t: t, types: map[string]wire.MachineType{}, jobs: map[string]*Job{},
-		machines: map[string]*Machine{}, teams: map[string]*team{}, over: map[string]bool{},
+		machines: map[string]*Machine{}, teams: map[string]*team{}, over: map[string]bool{}, dirty: map[*chunk]bool{}, unfolded: map[*chunk]bool{}, slots: make([]uint64, tuning.JournalSlots),
 		perChunk: max(1, int(s.Cluster.State.ValueKB*1024)/tuning.TaskBytes)}
 	for _, c := range s.Cluster.Teams {
 		p.teams[c.Name] = &team{Team: c}
@@ -294,27 +305,28 @@
 	return j
 }
 
-// LoadChunk takes in a chunk as its record shows it. The machines must be known already.
-func (p *Part) LoadChunk(id string, index int, stamp uint64, r ChunkRecord) {
-	j := p.jobs[id]
-	if j == nil || index >= len(j.chunks) {
+// loadChunk takes in a chunk as its record and the journal show it.
+func (p *Part) loadChunk(l *LoadedChunk) {
+	j := p.jobs[l.Job]
+	if j == nil || l.Index < 0 || l.Index >= len(j.chunks) {
 		return
 	}
-	c := j.chunks[index]
-	c.stamp = stamp
+	c, r := j.chunks[l.Index], &l.Record
+	c.stamp, c.oldest = l.Stamp, l.oldest
+	if c.oldest > 0 {
+		p.unfolded[c] = true
+	}
 	if r.JobStamp > 0 {
 		j.Stamp = r.JobStamp
 	}
 	j.try = max(j.try, r.Try)
-	for i := 0; i+1 < len(r.Done); i += 2 {
-		for t := max(r.Done[i], c.from); t < r.Done[i+1] && t < c.to; t++ {
-			if j.tasks[t] == waiting {
-				j.tasks[t] = done
-				j.waiting--
-				j.done++
-			}
+	eachIn(r.Done, func(t int) {
+		if t >= c.from && t < c.to && j.tasks[t] == waiting {
+			j.tasks[t] = done
+			j.waiting--
+			j.done++
 		}
-	}
+	})
 	for _, l := range r.Live {
 		if l.Task < c.from || l.Task >= c.to || j.tasks[l.Task] != waiting {
 			continue
@@ -323,7 +335,7 @@
 		if m == nil {
 			// The machine's record goes only after its return was answered
 			// with 200, so nothing of it can be live.
-			c.version++
+			p.touch(c, l.Task)
 			continue
 		}
 		// An earlier owner's start counts as sent and seen: it is never
@@ -331,9 +343,6 @@
 		pl := &Placement{job: j, task: l.Task, try: l.Try, machine: m, session: l.Session, sent: true, seen: true}
 		p.attach(pl)
 	}
-	if j.Shape == wire.Gang && len(j.placed) > 0 && len(j.placed) < j.Tasks {
-		j.broken = true
-	}
 }
 
 func (p *Part) attach(pl *Placement) {
@@ -367,7 +376,7 @@
 		p.Requeued++
 		j.noRoom = -1
 	}
-	pl.chunk().version++
+	p.touch(pl.chunk(), pl.task)
 	p.room++
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -117,6 +117,12 @@
 	// TaskBytes: bytes of a record set aside for one task; a placement takes
 	// about 40.
 	TaskBytes = 64
+	// JournalSlots: records of a part's journal before it begins anew. At ten a second
+	// a chunk is folded every 20 s, and a takeover reads a few hundred keys at most.
+	JournalSlots = 256
+	// MinJournalBytes: a journal record is not begun in a transaction that has less
+	// room than this left.
+	MinJournalBytes = 1 << 10
 	// TxnBytes: bytes that one transaction may take; the service allows 64 KiB.
 	TxnBytes = 48 << 10
 	// SpareSockets: sockets left for everything but users and workers.
