Reports that an order's answer has overtaken are answered, not refused

Cause: an answer to an order carries a higher tally than the report already under way; that report was refused and its worker turned to another node a second later.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -178,6 +178,8 @@
 	for _, seq := range b.slots {
 		p.slots[p.slot(seq)] = rev
 	}
+	p.Journaled += len(b.slots)
+	p.Folded += len(b.folds)
 	for _, w := range b.entries {
 		p.settle(w.c, w.version, w.tasks)
 		if w.c.oldest == 0 && !w.c.job.final {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -32,8 +32,18 @@
 	}
 	// Reports held back by a cut arrive late; their lists are as old as they are.
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
+		if r.Session == m.session && r.Seq > max(m.reported, m.overtook) {
+			// Not late: the answer to an order has overtaken it on the way. Its list
+			// is old, but refused, the worker would turn to another node.
+			m.overtook = r.Seq
+			m.answered = now
+			return Accepted, wire.ReportReply{Token: m.token, Commands: []wire.Command{}}
+		}
 		return Stale, reply
 	}
+	if r.Session > m.session {
+		m.overtook = 0
+	}
 	m.session, m.seq, m.reported = r.Session, r.Seq, r.Seq
 	m.answered, m.heard = now, true
 	if m.silent {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -168,6 +168,7 @@
 	acked    bool
 	spoken   bool      // has been acked under this ownership at least once
 	reported uint64    // number of the newest message that was a report
+	overtook uint64    // number of the newest report that an order's answer overtook
 	answered time.Time // last report answered
 	heard    bool
 	notice   bool
@@ -252,6 +253,7 @@
 	touches  int
 	// stats for the log line
 	Started, Finished, Requeued, Preempted, Moved int
+	Journaled, Folded                             int
 	consolidated                                  time.Time
 }
 
