--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -424,6 +424,9 @@
 				continue
 			}
 			room = room.add(need(pl.job.Job))
+			if pl.job.placed[pl.task] != pl {
+				continue // its gang was stopped with a mate before it, and it had not left yet
+			}
 			grace = max(grace, pl.job.Save)
 			p.Preempted++
 			p.stopWhole(pl, now)
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -214,7 +214,8 @@
 		p.stop(pl, grace, now)
 		return
 	}
-	j.broken = true
+	// Without any placement left nothing would ever end the gang's being broken.
+	j.broken = len(j.placed) > 0
 	for _, o := range placements(j) {
 		p.stop(o, grace, now)
 	}
