Machines rented together share a record; rentals of up to 50, returns of up to 100

Now a group's record holds them; a machine's token is a field of it, raised above all earlier revisions. A new leader acts only when its copy has caught up with its claim, or it would take machines in twice.

--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,6 +37,12 @@
 
 type machineEntry struct {
 	rec   core.MachineRecord
+	group string
+	stamp uint64 // of the group
+}
+
+type groupEntry struct {
+	rec   core.GroupRecord
 	stamp uint64
 }
 
@@ -51,15 +59,17 @@
 	lead     owner
 	parts    map[int]owner
 	nodes    map[string]uint64
+	groups   map[string]groupEntry
 	machines map[string]machineEntry
 	hires    map[string]hireEntry
+	seen     uint64        // all changes up to this revision are in the copy
 	changed  chan struct{} // closed and replaced at every change
 	onChange func(machine string, e machineEntry, gone bool)
 	onOwner  func(part int, o owner)
 }
 
 func newCluster() *cluster {
-	return &cluster{parts: map[int]owner{}, nodes: map[string]uint64{}, machines: map[string]machineEntry{},
+	return &cluster{parts: map[int]owner{}, nodes: map[string]uint64{}, groups: map[string]groupEntry{}, machines: map[string]machineEntry{},
 		hires: map[string]hireEntry{}, changed: make(chan struct{})}
 }
 
@@ -93,22 +103,7 @@
 			c.nodes[key[len(nodePrefix):]] = stamp
 		}
 	case strings.HasPrefix(key, machinePrefix):
-		id := key[len(machinePrefix):]
-		if gone {
-			delete(c.machines, id)
-			if c.onChange != nil {
-				after = func() { c.onChange(id, machineEntry{}, true) }
-			}
-			break
-		}
-		var r core.MachineRecord
-		if wire.Unmarshal(value, &r) == nil && stamp >= c.machines[id].stamp {
-			e := machineEntry{r, stamp}
-			c.machines[id] = e
-			if c.onChange != nil {
-				after = func() { c.onChange(id, e, false) }
-			}
-		}
+		after = c.applyGroup(key[len(machinePrefix):], value, stamp, gone)
 	case strings.HasPrefix(key, hirePrefix):
 		id := key[len(hirePrefix):]
 		if gone {
@@ -128,6 +123,92 @@
 	}
 }
 
+// applyGroup takes in a group of machines, and returns what is to be told of them.
+func (c *cluster) applyGroup(name string, value wire.Raw, stamp uint64, gone bool) func() {
+	old := c.groups[name]
+	if stamp < old.stamp {
+		return nil
+	}
+	var g core.GroupRecord
+	if !gone {
+		var err error
+		if g, err = core.ReadGroup(name, value, stamp); err != nil {
+			slog.Error("record not understood", "key", machinePrefix+name, "err", err)
+			return nil
+		}
+	}
+	changed, lost := map[string]machineEntry{}, []string{}
+	for id, r := range g.Machines {
+		e := machineEntry{rec: r, group: name, stamp: stamp}
+		if c.machines[id].rec != r {
+			changed[id] = e
+		}
+		c.machines[id] = e
+	}
+	for id := range old.rec.Machines {
+		if _, ok := g.Machines[id]; !ok && c.machines[id].group == name {
+			delete(c.machines, id)
+			lost = append(lost, id)
+		}
+	}
+	if gone {
+		delete(c.groups, name)
+	} else {
+		c.groups[name] = groupEntry{g, stamp}
+	}
+	if c.onChange == nil {
+		return nil
+	}
+	return func() {
+		for id, e := range changed {
+			c.onChange(id, e, false)
+		}
+		for _, id := range lost {
+			c.onChange(id, machineEntry{}, true)
+		}
+	}
+}
+
+// regroup builds the writes that change machines' records; nil removes one. Groups
+// that are not in the copy any more are left out.
+func (c *cluster) regroup(changes map[string]*core.MachineRecord) (conds []wire.Cond, then []wire.Write) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := map[string]core.GroupRecord{}
+	var order []string
+	for _, id := range sortedIDs(changes) {
+		e, ok := c.machines[id]
+		if !ok {
+			continue
+		}
+		g, ok := next[e.group]
+		if !ok {
+			g.Machines = maps.Clone(c.groups[e.group].rec.Machines)
+			next[e.group] = g
+			order = append(order, e.group)
+		}
+		if r := changes[id]; r != nil {
+			g.Machines[id] = *r
+		} else {
+			delete(g.Machines, id)
+		}
+	}
+	for _, name := range order {
+		key := machinePrefix + name
+		conds = append(conds, wire.Cond{Key: key, Stamp: c.groups[name].stamp})
+		if len(next[name].Machines) == 0 {
+			then = append(then, wire.Write{Delete: key})
+		} else {
+			then = append(then, wire.Write{Put: key, Value: next[name]})
+		}
+	}
+	return conds, then
+}
+
+func sortedIDs[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 func (c *cluster) owner(value wire.Raw, stamp uint64, gone bool) owner {
 	if gone {
 		return owner{stamp: stamp}
@@ -161,7 +242,7 @@
 			gone = append(gone, nodePrefix+n)
 		}
 	}
-	for n, e := range c.machines {
+	for n, e := range c.groups {
 		if !have[machinePrefix+n] && e.stamp <= rev {
 			gone = append(gone, machinePrefix+n)
 		}
@@ -178,13 +259,26 @@
 	c.mu.Lock()
 	c.loaded = true
 	c.mu.Unlock()
+	c.caughtUp(rev)
+}
+
+// caughtUp notes that all changes up to a revision are in the copy.
+func (c *cluster) caughtUp(rev uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rev > c.seen {
+		c.seen = rev
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
 }
 
 // watchWait is how long one watch stays open.
 const watchWait = 20 * time.Second
 
-// follow lists a prefix and then follows its changes until the context ends.
-func follow(ctx context.Context, st *store.Client, prefix string, list func([]wire.Item, uint64), event func(wire.Event)) {
+// follow lists a prefix and then follows its changes until the context ends; upTo is
+// told the revision up to which all have been passed on.
+func follow(ctx context.Context, st *store.Client, prefix string, list func([]wire.Item, uint64), event func(wire.Event), upTo func(uint64)) {
 	for ctx.Err() == nil {
 		items, rev, err := st.List(ctx, prefix)
 		if err != nil {
@@ -193,12 +287,12 @@
 			continue
 		}
 		list(items, rev)
-		followFrom(ctx, st, prefix, rev, event)
+		followFrom(ctx, st, prefix, rev, event, upTo)
 	}
 }
 
 // followFrom follows a prefix's changes; it returns when they are no longer kept.
-func followFrom(ctx context.Context, st *store.Client, prefix string, rev uint64, event func(wire.Event)) {
+func followFrom(ctx context.Context, st *store.Client, prefix string, rev uint64, event func(wire.Event), upTo func(uint64)) {
 	for ctx.Err() == nil {
 		r, err := st.Watch(ctx, prefix, rev, watchWait)
 		switch {
@@ -213,6 +307,7 @@
 			event(e)
 		}
 		rev = max(rev, r.Revision)
+		upTo(rev)
 	}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -91,7 +91,7 @@
 			} else {
 				c.cluster.apply(e.Put, e.Value, e.Stamp, false)
 			}
-		})
+		}, c.cluster.caughtUp)
 		return nil
 	})
 	duty("catalog", c.keepCatalog)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -102,10 +103,22 @@
 	return l.c.cluster.lead.stamp == l.stamp && l.c.currentHold() != 0
 }
 
+// caughtUp tells whether the copy holds all that was written before this term.
+func (l *leader) caughtUp() bool {
+	l.c.cluster.mu.Lock()
+	defer l.c.cluster.mu.Unlock()
+	return l.c.cluster.seen >= l.stamp
+}
+
 func (l *leader) run(ctx context.Context) {
 	slog.Info("leading", "stamp", l.stamp)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// What an earlier leader has written must be in the copy first, or its machines
+	// would be taken in once more.
+	for ctx.Err() == nil && l.leads() && !l.caughtUp() {
+		transport.Pause(ctx, 50*time.Millisecond)
+	}
 	var lastList, lastSum time.Time
 	for ctx.Err() == nil && l.leads() {
 		now := time.Now()
@@ -144,9 +157,11 @@
 	return false
 }
 
+func (l *leader) fence() wire.Cond { return wire.Cond{Key: leadKey, Stamp: l.stamp} }
+
 // commit runs a transaction of the leader's, fenced by the lead's stamp.
 func (l *leader) commit(ctx context.Context, conds []wire.Cond, then []wire.Write) (uint64, error) {
-	return l.c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{{Key: leadKey, Stamp: l.stamp}}, conds...), Then: then})
+	return l.c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{l.fence()}, conds...), Then: then})
 }
 
 func (l *leader) machines() (ids []string, all map[string]machineEntry) {
@@ -197,8 +212,8 @@
 	if open > 0 {
 		return
 	}
-	var writes []wire.Write
-	var conds []wire.Cond
+	groups := map[core.Kind][]string{}
+	taken := map[string]core.MachineRecord{}
 	for _, m := range list {
 		if _, ok := recs[m.ID]; ok || m.State == wire.Failed {
 			continue
@@ -209,18 +224,21 @@
 		rec := core.MachineRecord{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: l.partFor(recs),
 			Born: now.UnixMilli() - int64(m.Age*1000)}
 		recs[m.ID] = machineEntry{rec: rec}
-		key := machinePrefix + m.ID
-		conds = append(conds, wire.Cond{Key: key, Stamp: 0})
-		writes = append(writes, wire.Write{Put: key, Value: rec})
-	}
-	for len(writes) > 0 {
-		n := min(len(writes), l.c.s.Cluster.State.TxnOps)
-		if _, err := l.commit(ctx, conds[:n], writes[:n]); err != nil {
-			slog.Debug("machines not taken in", "err", err)
-			return
+		taken[m.ID] = rec
+		k := core.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		groups[k] = append(groups[k], m.ID)
+	}
+	for k, ids := range groups {
+		for part := range slices.Chunk(ids, core.PerGroup(l.c.s.Cluster.State.ValueKB, k.Type, k.Zone)) {
+			cond, put := group(part, taken)
+			rev, err := l.commit(ctx, []wire.Cond{cond}, []wire.Write{put})
+			if err != nil {
+				slog.Debug("machines not taken in", "err", err)
+				return
+			}
+			l.c.cluster.apply(put.Put, must(wire.Marshal(put.Value)), rev, false)
+			slog.Info("machines taken in", "count", len(part))
 		}
-		slog.Info("machines taken in", "count", n)
-		writes, conds = writes[n:], conds[n:]
 	}
 	for _, m := range list {
 		if _, ok := recs[m.ID]; !ok && m.State == wire.Failed {
@@ -229,6 +247,16 @@
 	}
 }
 
+// group is the write of a new group, named after its first machine.
+func group(ids []string, recs map[string]core.MachineRecord) (wire.Cond, wire.Write) {
+	g := core.GroupRecord{Machines: map[string]core.MachineRecord{}}
+	for _, id := range ids {
+		g.Machines[id] = recs[id]
+	}
+	key := machinePrefix + slices.Min(ids)
+	return wire.Cond{Key: key, Stamp: 0}, wire.Write{Put: key, Value: g}
+}
+
 // partFor spreads machines taken in over the parts.
 func (l *leader) partFor(recs map[string]machineEntry) int {
 	count := make([]int, l.c.parts)
@@ -305,14 +333,15 @@
 		then := []wire.Write{{Delete: key}}
 		switch {
 		case err == nil:
+			recs := map[string]core.MachineRecord{}
 			for _, id := range ids {
-				k := machinePrefix + id
-				rec := core.MachineRecord{Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Part: h.rec.Part, Born: time.Now().UnixMilli()}
-				if _, known := l.c.cluster.machine(id); known {
-					continue
+				if _, known := l.c.cluster.machine(id); !known {
+					recs[id] = core.MachineRecord{Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Part: h.rec.Part, Born: time.Now().UnixMilli()}
 				}
-				conds = append(conds, wire.Cond{Key: k, Stamp: 0})
-				then = append(then, wire.Write{Put: k, Value: rec})
+			}
+			if len(recs) > 0 {
+				cond, put := group(sortedIDs(recs), recs)
+				conds, then = append(conds, cond), append(then, put)
 			}
 			slog.Info("rented", "request", name, "type", kind.Type, "zone", kind.Zone, "spot", kind.Spot, "asked", h.rec.Count, "got", len(ids))
 			if len(ids) < h.rec.Count {
@@ -375,7 +404,6 @@
 	// A list may be older than the one before by as much as it lags, so a machine
 	// can be missing from some although it is there.
 	gone := 3 + int(l.c.s.Cluster.Cloud.ListLagS/l.c.t.ListS)
-	most := min(tuning.MaxRent, l.c.s.Cluster.State.TxnOps)
 	var back []string
 	why := ""
 	for _, id := range ids {
@@ -395,7 +423,7 @@
 		case late && !up[id] && !(listed && m.State == wire.Up):
 			reason = "did not come up"
 		}
-		if reason != "" && len(back) < most {
+		if reason != "" && len(back) < tuning.MaxReturn {
 			back = append(back, id)
 			why = reason
 		}
@@ -413,27 +441,17 @@
 		return
 	}
 	slog.Info("returned", "machines", ids, "why", why)
-	var conds []wire.Cond
-	var then []wire.Write
+	changes := map[string]*core.MachineRecord{}
 	for _, id := range ids {
 		l.gone[id] = time.Now()
 		if e, ok := l.c.cluster.machine(id); ok {
 			// There is room again for its like.
 			delete(l.refused, core.Kind{Type: e.rec.Type, Zone: e.rec.Zone, Spot: e.rec.Spot})
-			conds = append(conds, wire.Cond{Key: machinePrefix + id, Stamp: e.stamp})
-			then = append(then, wire.Write{Delete: machinePrefix + id})
+			changes[id] = nil
 		}
 	}
-	if len(then) == 0 {
-		return
-	}
-	rev, err := l.commit(ctx, conds, then)
-	if err != nil {
+	if err := l.c.rewrite(ctx, l.fence(), changes); err != nil {
 		slog.Debug("records of returned machines still stand", "err", err)
-		return
-	}
-	for _, w := range then {
-		l.c.cluster.apply(w.Delete, nil, rev, true)
 	}
 }
 
@@ -475,21 +493,24 @@
 	plan := l.fleet.Plan(in, now)
 	slog.Debug("sizing", "target", plan.Target, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
 	for _, r := range plan.Rentals {
-		// The machines and the rental's end must fit one transaction.
-		most := min(tuning.MaxRent, l.c.s.Cluster.State.TxnOps-1)
+		most := min(tuning.MaxRent, core.PerGroup(l.c.s.Cluster.State.ValueKB, r.Kind.Type, r.Kind.Zone))
 		for n := r.Count; n > 0; n -= most {
 			l.record(ctx, r, min(n, most))
 		}
 	}
+	wishes := map[string]*core.MachineRecord{}
 	for _, m := range plan.Moves {
-		e := recs[m.ID]
-		e.rec.Wish, e.rec.To = core.WishMove, m.To
-		l.wish(ctx, m.ID, e)
+		r := recs[m.ID].rec
+		r.Wish, r.To = core.WishMove, m.To
+		wishes[m.ID] = &r
 	}
 	for _, id := range plan.Returns {
-		e := recs[id]
-		e.rec.Wish = core.WishReturn
-		l.wish(ctx, id, e)
+		r := recs[id].rec
+		r.Wish = core.WishReturn
+		wishes[id] = &r
+	}
+	if err := l.c.rewrite(ctx, l.fence(), wishes); err != nil {
+		slog.Debug("wishes not written", "err", err)
 	}
 }
 
@@ -509,13 +530,3 @@
 	}
 	l.c.cluster.apply(key, must(wire.Marshal(rec)), rev, false)
 }
-
-func (l *leader) wish(ctx context.Context, id string, e machineEntry) {
-	key := machinePrefix + id
-	rev, err := l.commit(ctx, []wire.Cond{{Key: key, Stamp: e.stamp}}, []wire.Write{{Put: key, Value: e.rec}})
-	if err != nil {
-		slog.Debug("wish not written", "machine", id, "err", err)
-		return
-	}
-	l.c.cluster.apply(key, must(wire.Marshal(e.rec)), rev, false)
-}
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -103,11 +103,13 @@
 	p := core.NewPart(o.index, o.stamp, c.s, &c.t)
 	p.SetTypes(c.catalog())
 	for _, it := range machines {
-		var r core.MachineRecord
-		if err := wire.Unmarshal(it.Value, &r); err != nil {
+		g, err := core.ReadGroup(it.Key[len(machinePrefix):], it.Value, it.Stamp)
+		if err != nil {
 			return 0, err
 		}
-		p.SetMachine(it.Key[len(machinePrefix):], r, it.Stamp, now)
+		for id, r := range g.Machines {
+			p.SetMachine(id, r, it.Stamp, now)
+		}
 	}
 	var all []core.LoadedChunk
 	for _, it := range chunks {
@@ -242,7 +244,7 @@
 		}
 		o.mu.Unlock()
 		o.poke()
-	})
+	}, func(uint64) {})
 }
 
 // reread takes in jobs and cancellations that the watch has missed.
@@ -373,37 +375,47 @@
 // and raises the tokens of those where an order's outcome is unknown.
 func (o *owned) release() {
 	o.mu.Lock()
-	ids := append([]string(nil), o.p.MachineIDs()...)
-	doubtful := o.p.Doubtful()
-	o.mu.Unlock()
-	for _, id := range ids {
-		o.mu.Lock()
-		r, stamp, ok := o.p.Releasable(id)
-		o.mu.Unlock()
-		if ok {
-			o.rewrite(id, r, stamp)
-		}
+	changes := map[string]*core.MachineRecord{}
+	for id, r := range o.p.Releasable() {
+		changes[id] = &r
 	}
-	for _, id := range doubtful {
-		if e, ok := o.c.cluster.machine(id); ok && e.rec.Part == o.index {
-			o.rewrite(id, e.rec, e.stamp)
+	for _, id := range o.p.Doubtful() {
+		if e, ok := o.c.cluster.machine(id); ok && e.rec.Part == o.index && changes[id] == nil {
+			changes[id] = &e.rec
 		}
 	}
+	o.mu.Unlock()
+	// The token is above all that was committed before, and no higher than the
+	// revision of the commit that writes it, so that any later claim is above it.
+	for id, r := range changes {
+		e, _ := o.c.cluster.machine(id)
+		r.Token = max(o.c.store.Revision(), o.stamp, e.stamp) + 1
+	}
+	if err := o.c.rewrite(o.ctx, wire.Cond{Key: core.PartKey(o.index), Stamp: o.stamp}, changes); err != nil {
+		slog.Debug("machines' records not rewritten", "part", o.index, "err", err)
+	}
 }
 
-// rewrite writes a machine's record under this owner's fence. The new stamp
-// becomes the machine's token.
-func (o *owned) rewrite(id string, r core.MachineRecord, stamp uint64) {
-	key := machinePrefix + id
-	rev, err := o.c.store.Commit(o.ctx, wire.Txn{
-		If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}, {Key: key, Stamp: stamp}},
-		Then: []wire.Write{{Put: key, Value: r}},
-	})
-	if err != nil {
-		slog.Debug("machine's record not rewritten", "machine", id, "err", err)
-		return
+// rewrite changes machines' records under the fence of the part's owner or the
+// leader; nil removes one.
+func (c *Controller) rewrite(ctx context.Context, fence wire.Cond, changes map[string]*core.MachineRecord) error {
+	conds, then := c.cluster.regroup(changes)
+	for len(then) > 0 {
+		n := min(len(then), c.s.Cluster.State.TxnOps, max(1, int(tuning.TxnBytes/(c.s.Cluster.State.ValueKB*1024))))
+		rev, err := c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{fence}, conds[:n]...), Then: then[:n]})
+		if err != nil {
+			return err
+		}
+		for _, w := range then[:n] {
+			if w.Put != "" {
+				c.cluster.apply(w.Put, must(wire.Marshal(w.Value)), rev, false)
+			} else {
+				c.cluster.apply(w.Delete, nil, rev, true)
+			}
+		}
+		conds, then = conds[n:], then[n:]
 	}
-	o.c.cluster.apply(key, must(wire.Marshal(r)), rev, false)
+	return nil
 }
 
 // summarise writes the part's summary when it has changed.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -186,8 +186,10 @@
 		t.Fatal("the placement was given up although its start may still come")
 	}
 	b.rev++
-	b.SetMachine("m-1", b.machines["m-1"].Rec, b.rev, b.now) // the rewritten record
-	b.report("m-1")                                          // carries the higher token
+	rec := b.machines["m-1"].Rec
+	rec.Token = b.rev
+	b.SetMachine("m-1", rec, b.rev, b.now) // the rewritten record
+	b.report("m-1")                        // carries the higher token
 	if len(b.machines["m-1"].places) != 0 || b.machines["m-1"].doubt {
 		t.Fatal("the placement stands although its order can no longer be carried out")
 	}
@@ -292,6 +294,33 @@
 	}
 }
 
+// A gang that is stopped for others before any of its starts has left, two of its
+// tasks on one machine, must not count as broken for ever: it was never run again.
+func TestGangStoppedBeforeItsStartIsPlacedAgain(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	g := array("req-1", 2, 4)
+	g.Shape, g.Rank = wire.Gang, "idle"
+	b.add(g)
+	b.Schedule(b.now)
+	u := array("req-2", 1, 8)
+	u.Rank = "urgent"
+	b.add(u)
+	b.Schedule(b.now)
+	b.Schedule(b.now)
+	b.commit()
+	if got := ops(b.report("m-1")); len(got) != 1 || got[0] != "start req-2/0 1" {
+		t.Fatalf("commands: %v", got)
+	}
+	b.end("m-1", "req-2/0", 1, wire.CauseDone)
+	b.report("m-1")
+	b.commit()
+	b.Schedule(b.now)
+	if n := len(b.jobs["req-1"].placed); n != 2 {
+		t.Fatalf("%d tasks of the gang placed", n)
+	}
+}
+
 // A cancelled job's tasks are stopped, and its records go last.
 func TestCancelledJobIsStoppedAndForgotten(t *testing.T) {
 	b := newBed()
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -59,6 +59,38 @@
 	// Free: the owner has let go; nothing that its part placed can be live.
 	Free bool  `cbor:"free,omitempty"`
 	Born int64 `cbor:"born"` // milliseconds of the time of day
+	// Token that the machine's commands carry at least; raised above all that came
+	// before when the machine moves, or when an order's outcome is not known.
+	Token uint64 `cbor:"tok,omitempty"`
+}
+
+// GroupRecord holds machines that were rented or taken in together: a fleet that
+// starts or ends at once costs a change of the state service for dozens of them,
+// not for each.
+type GroupRecord struct {
+	Machines map[string]MachineRecord `cbor:"ms"`
+}
+
+// ReadGroup decodes a group. Versions before groups kept a record for each machine,
+// whose stamp was its token; such a record is read as a group of one.
+func ReadGroup(id string, value wire.Raw, stamp uint64) (GroupRecord, error) {
+	var g GroupRecord
+	if err := wire.Unmarshal(value, &g); err != nil || g.Machines != nil {
+		return g, err
+	}
+	var m MachineRecord
+	if err := wire.Unmarshal(value, &m); err != nil {
+		return g, err
+	}
+	m.Token = stamp
+	g.Machines = map[string]MachineRecord{id: m}
+	return g, nil
+}
+
+// PerGroup is how many machines of a type and zone a record of the given size holds.
+func PerGroup(valueKB float64, typ, zone string) int {
+	const each = 150 // bytes of a machine in the protocol's measure, names apart
+	return max(1, int(valueKB*1024-64)/(each+len(typ)+len(zone)))
 }
 
 // HireRecord is written before the cloud is called, so that a rental whose
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -156,7 +156,7 @@
 type Machine struct {
 	ID      string
 	Rec     MachineRecord
-	Stamp   uint64 // of its record
+	stamp   uint64 // of its record
 	size    Room
 	typ     wire.MachineType
 	used    Room
@@ -449,13 +449,13 @@
 			images: map[string]time.Time{}, failures: map[string]bool{}, adopted: now}
 		p.machines[id] = m
 		p.order = sortedKeys(p.machines)
-	} else if stamp < m.Stamp {
+	} else if stamp < m.stamp {
 		return
 	}
-	m.Rec, m.Stamp = rec, stamp
+	m.Rec, m.stamp = rec, stamp
 	m.typ = p.types[rec.Type]
 	m.size = size(m.typ)
-	if tok := max(p.Stamp, stamp); tok > m.token {
+	if tok := max(p.Stamp, rec.Token); tok > m.token {
 		m.token = tok
 		m.acked = false
 	}
@@ -496,20 +496,23 @@
 	return out
 }
 
-// Releasable tells whether nothing of this part can be live on the machine, so
-// that it may be let go as the leader wishes.
-func (p *Part) Releasable(id string) (MachineRecord, uint64, bool) {
-	m := p.machines[id]
-	if m == nil || m.Rec.Wish == WishNone || m.Rec.Free || len(m.places) > 0 || len(m.clearing) > 0 {
-		return MachineRecord{}, 0, false
-	}
-	r := m.Rec
-	if r.Wish == WishMove {
-		r.Part, r.Wish, r.To = r.To, WishNone, 0
-	} else {
-		r.Free = true
+// Releasable lists the machines on which nothing of this part can be live, so
+// that they may be let go as the leader wishes, with the records to write.
+func (p *Part) Releasable() map[string]MachineRecord {
+	out := map[string]MachineRecord{}
+	for id, m := range p.machines {
+		if m.Rec.Wish == WishNone || m.Rec.Free || len(m.places) > 0 || len(m.clearing) > 0 {
+			continue
+		}
+		r := m.Rec
+		if r.Wish == WishMove {
+			r.Part, r.Wish, r.To = r.To, WishNone, 0
+		} else {
+			r.Free = true
+		}
+		out[id] = r
 	}
-	return r, m.Stamp, true
+	return out
 }
 
 // View counts a job's tasks for display.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -57,6 +57,7 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	contact atomic.Int64 // nanoseconds since start of the last answer
+	rev     atomic.Uint64
 
 	mu    sync.Mutex
 	start time.Time
@@ -222,9 +223,17 @@
 	if err := c.call(ctx, http.MethodPost, "/commit", t, &r); err != nil {
 		return 0, err
 	}
-	return r.Revision, nil
+	for {
+		old := c.rev.Load()
+		if r.Revision <= old || c.rev.CompareAndSwap(old, r.Revision) {
+			return r.Revision, nil
+		}
+	}
 }
 
+// Revision is the highest that a commit of this node was answered with.
+func (c *Client) Revision() uint64 { return c.rev.Load() }
+
 // Grant makes a hold. Holds are never kept back by the budget: without them
 // everything else is lost.
 func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -109,8 +109,11 @@
 
 // Fixed limits, not for tuning.
 const (
-	// MaxRent: machines in one rental; their records must fit one transaction.
-	MaxRent = 8
+	// MaxRent: machines in one rental, by the protocol; fewer if their group's record
+	// would not fit one value.
+	MaxRent = 50
+	// MaxReturn: machines given back in one call, by the protocol.
+	MaxReturn = 100
 	// MaxCommands: commands in one answer to a worker; at about 80 bytes
 	// each this stays well under the protocol's 64 KiB.
 	MaxCommands = 200
