Gangs let fetches end; starved jobs go first; GPUs keep their share of a machine

An image counts as on a machine only if its fetch was not given up.

A job not begun after StarveS goes first, and for a gang room is gathered as tasks end.

Tasks without GPUs leave a GPU machine's free GPUs their share of CPUs and memory where another type could take them, unless they are old.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -471,7 +471,7 @@
 			o.mu.Lock()
 			if o.p != nil {
 				args = append(args, "part", o.index, "jobs", o.p.Jobs(), "machines", len(o.p.MachineIDs()), "started", o.p.Started,
-					"finished", o.p.Finished, "requeued", o.p.Requeued, "preempted", o.p.Preempted, "moved", o.p.Moved, "journaled", o.p.Journaled, "folded", o.p.Folded)
+					"finished", o.p.Finished, "requeued", o.p.Requeued, "preempted", o.p.Preempted, "moved", o.p.Moved, "gathered", o.p.Gathered, "incomplete", o.p.Incomplete, "journaled", o.p.Journaled, "folded", o.p.Folded)
 			}
 			o.mu.Unlock()
 		}
--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -333,6 +333,21 @@
 	})
 }
 
+// A gang whose image takes longer to fetch than a task waits for the others, with
+// the image on one of its machines already, must come to run.
+func TestGangWithLargeImageRuns(t *testing.T) {
+	play(t, 4, 1, false, func(d *day) {
+		job := func(id string, tasks int) *wire.Job {
+			return &wire.Job{ID: id, Class: "c", Team: "free", Shape: wire.Gang, Rank: "standard", Tasks: tasks, CPUs: 16, GPUs: 4, RAM: 64,
+				Image: "img", ImageGB: 90, Estimate: 20}
+		}
+		d.submit(job("req-000001", 1), 0)
+		time.Sleep(150 * time.Second) // its image is there, the task under way or just over
+		d.submit(job("req-000002", 2), 0)
+		d.finish(8 * time.Minute)
+	})
+}
+
 // More is asked for than the cloud has: once it has refused a kind, the other
 // rentals recorded for that kind must not be called for one by one.
 func TestRefusedKindsAreNotCalledForAgain(t *testing.T) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -491,7 +491,7 @@
 		}
 	}
 	plan := l.fleet.Plan(in, now)
-	slog.Debug("sizing", "target", plan.Target, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
+	slog.Debug("sizing", "target", plan.Target, "booked", plan.Booked, "up", len(up), "empty", len(empty), "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
 	for _, r := range plan.Rentals {
 		most := min(tuning.MaxRent, core.PerGroup(l.c.s.Cluster.State.ValueKB, r.Kind.Type, r.Kind.Zone))
 		for n := r.Count; n > 0; n -= most {
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -69,7 +69,11 @@
 		case <-o.kick:
 		case <-tick.C:
 		}
+		began := time.Now()
 		o.pass()
+		if d := time.Since(began); d > time.Second {
+			slog.Debug("slow pass", "part", o.index, "seconds", d.Seconds())
+		}
 		transport.Pause(o.ctx, gap)
 	}
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -51,6 +51,7 @@
 // Plan is the outcome of a sizing round.
 type Plan struct {
 	Target  map[string]int
+	Booked  map[string]float64 // room in use, in machines
 	Rentals []Rental
 	Moves   []Move
 	Returns []string
@@ -79,7 +80,7 @@
 // units / 1), where the units are counted as the machines that the waiting
 // tasks would fill after the booting and the empty ones are full.
 func (f *Fleet) Plan(in FleetInput, now time.Time) Plan {
-	p := Plan{Target: map[string]int{}}
+	p := Plan{Target: map[string]int{}, Booked: map[string]float64{}}
 	types := map[string]wire.MachineType{}
 	for _, t := range in.Types {
 		types[t.Name] = t
@@ -141,7 +142,7 @@
 			b.left = b.left.sub(Room{w.CPUs, w.GPUs, w.RAM}.times(k))
 		}
 	}
-	booked, firm := map[string]float64{}, map[string]float64{}
+	booked, firm := p.Booked, map[string]float64{}
 	busiest, most := 0, -1.0
 	for _, part := range sortedParts(in.Summaries) {
 		s := in.Summaries[part]
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -61,6 +61,9 @@
 
 func (p *Part) before(q, o *queue) bool {
 	a, b := q.jobs[0], o.jobs[0]
+	if a.aged || b.aged {
+		return a.aged && (!b.aged || a.At.Before(b.At))
+	}
 	if a.covered != b.covered {
 		return a.covered
 	}
@@ -114,6 +117,10 @@
 		for _, j := range jobs {
 			sum = sum.add(need(j.Job).times(j.Tasks - j.done))
 			j.covered = t.covers(sum)
+			begun := j.started || j.done > 0 || (j.Shape != wire.Gang && j.try > 0)
+			j.aged = !begun && now.Sub(j.At) > tuning.Seconds(p.t.StarveS)
+			j.old = now.Sub(j.At) > tuning.Seconds(2*p.t.StarveS)
+			j.plain = j.GPUs == 0 && p.plain(j.Job)
 		}
 		q := &queue{team: t}
 		for _, j := range jobs {
@@ -124,6 +131,9 @@
 		}
 		sort.SliceStable(q.jobs, func(a, b int) bool {
 			x, y := q.jobs[a], q.jobs[b]
+			if x.aged || y.aged {
+				return x.aged && (!y.aged || x.At.Before(y.At))
+			}
 			if x.covered != y.covered {
 				return x.covered
 			}
@@ -162,10 +172,16 @@
 	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
 		j.noRoom = p.room
 		p.makeRoom(j, min(n, 2*slice), now)
+		if !j.held {
+			p.gather(j, n, now)
+		}
 		return false
 	}
 	j.try++
 	j.held = false
+	if j.GPUs > 0 {
+		p.room++ // what is left of its machines' other room is free for others now
+	}
 	k := 0
 	for i := range j.tasks {
 		if k == len(where) {
@@ -250,7 +266,7 @@
 		if m.reserved != "" && m.reserved != j.ID && now.Before(m.resUntil) {
 			continue
 		}
-		if !free(m).holds(r) {
+		if f := free(m); !f.holds(r) || !spare(j, m, f) {
 			continue
 		}
 		cands = append(cands, m)
@@ -287,6 +303,28 @@
 	return best
 }
 
+// plain tells whether a type without GPUs could take a job's tasks.
+func (p *Part) plain(j *wire.Job) bool {
+	for _, t := range p.types {
+		if t.GPUs == 0 && typeAllowed(j.Types, t.Name) && size(t).holds(need(j)) {
+			return true
+		}
+	}
+	return false
+}
+
+// spare tells whether a task that needs no GPU leaves a machine's free GPUs their
+// share of its other room, where other types could do its work: GPUs are the scarce
+// part, and idle with nothing beside. A job that has waited long takes any room.
+func spare(j *Job, m *Machine, free Room) bool {
+	if j.GPUs > 0 || m.size.GPUs == 0 || !j.plain || j.aged || j.old {
+		return true
+	}
+	rest := free.sub(need(j.Job))
+	k := free.GPUs / m.size.GPUs
+	return rest.CPUs >= k*m.size.CPUs-eps && rest.RAM >= k*m.size.RAM-eps
+}
+
 // pick takes the cheapest machines one after the other.
 func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
 	r := need(j.Job)
@@ -303,7 +341,7 @@
 	for len(out) < n {
 		best, bestCost := -1, 0.0
 		for i, m := range cands {
-			if !left[i].holds(r) || (j.Spread && perZone[m.Rec.Zone] >= limit) {
+			if !left[i].holds(r) || !spare(j, m, left[i]) || (j.Spread && perZone[m.Rec.Zone] >= limit) {
 				continue
 			}
 			if c := p.cost(j, m, left[i]); best < 0 || c < bestCost {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -82,9 +82,17 @@
 		if t.State != wire.Exited {
 			if t.State == wire.RunningTask && pl.state != wire.RunningTask && pl.began.IsZero() {
 				pl.began = now
+				pl.job.started = true
 			}
 			pl.state = t.State
 			m.images[pl.job.Image] = now
+			if t.State != wire.Fetching {
+				pl.fetched = true
+			}
+			if t.State == wire.WaitingGang && pl.job.broken && pl.kill == nil {
+				p.keep(pl, now)
+				p.stop(pl, 0, now)
+			}
 			continue
 		}
 		p.exited(pl, t, now)
@@ -122,6 +130,9 @@
 // exited takes in a task's end.
 func (p *Part) exited(pl *Placement, t *wire.TaskReport, now time.Time) {
 	j, m := pl.job, pl.machine
+	if t.Cause != wire.CauseStopped && t.Cause != wire.CauseNoRoom && t.Cause != wire.CauseBusy && t.Cause != wire.CauseUnknown {
+		pl.fetched = true // it has waited or run, which takes the image
+	}
 	switch t.Cause {
 	case wire.CauseDone:
 		clear(m.failures)
@@ -142,6 +153,9 @@
 	case wire.CauseError:
 		p.failed(j, m, now)
 		p.requeue(pl, now)
+	case wire.CauseIncomplete:
+		p.Incomplete++
+		p.incomplete(pl, now)
 	default:
 		p.requeue(pl, now)
 	}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -104,9 +104,14 @@
 	// A search for room is repeated only after room has changed.
 	noRoom    int
 	preempted time.Time
-	held      bool    // room is being made for it, so it is no demand for rentals
-	fetchS    float64 // seconds that its image's fetch takes at least, where it has room
-	covered   bool    // fits the guarantee with the team's earlier jobs
+	held      bool      // room is being made for it, so it is no demand for rentals
+	fetchS    float64   // seconds that its image's fetch takes at least, where it has room
+	covered   bool      // fits the guarantee with the team's earlier jobs
+	started   bool      // a task of it has been seen running under this owner
+	old       bool      // has waited so long that it takes any room
+	plain     bool      // types without GPUs could do it
+	gathers   time.Time // until then machines are kept free for it
+	aged      bool      // has waited so long for its first start that it goes first
 }
 
 // Placement is a task that may be, or may come to be, on a machine.
@@ -123,6 +128,7 @@
 	seen    bool   // a report has shown it
 	state   wire.TaskState
 	began   time.Time // first seen running
+	fetched bool      // has been seen with its image
 	kill    *killOrder
 	over    bool // its gang is done; only the machine's word is awaited
 }
@@ -253,7 +259,7 @@
 	touches  int
 	// stats for the log line
 	Started, Finished, Requeued, Preempted, Moved int
-	Journaled, Folded                             int
+	Journaled, Folded, Gathered, Incomplete       int
 	consolidated                                  time.Time
 }
 
@@ -370,6 +376,9 @@
 	if len(m.places) == 0 {
 		m.used = Room{}
 	}
+	if !pl.fetched && !m.fetches(j.Image) {
+		delete(m.images, j.Image) // the fetch is given up when no task waits for it
+	}
 	t := p.team(j.Team)
 	t.used = t.used.sub(need(j.Job))
 	if j.tasks[pl.task] == live {
@@ -382,6 +391,45 @@
 	p.room++
 }
 
+// fetches tells whether some task placed here wants the image.
+func (m *Machine) fetches(image string) bool {
+	for _, pl := range m.places {
+		if pl.job.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// incomplete handles a task of a gang that has waited in vain for the others. Those
+// that still fetch their image go on until they have it, and the machines are kept
+// for the gang, so that its next attempt starts at once. Stopped, they would have
+// to fetch again while the first one waits in vain again, and so for ever.
+func (p *Part) incomplete(pl *Placement, now time.Time) {
+	j := pl.job
+	p.keep(pl, now)
+	p.detach(pl)
+	j.broken = len(j.placed) > 0
+	for _, o := range placements(j) {
+		if o.state != wire.Fetching || o.kill != nil {
+			p.keep(o, now)
+			p.stop(o, 0, now)
+		}
+	}
+}
+
+// keep holds a machine for the next attempt of a gang that fetches.
+func (p *Part) keep(pl *Placement, now time.Time) {
+	m, j := pl.machine, pl.job
+	wait := 0.0
+	for _, o := range j.placed {
+		if o.machine.typ.FetchRate > 0 && !o.fetched {
+			wait = max(wait, 2*j.ImageGB/o.machine.typ.FetchRate)
+		}
+	}
+	m.reserved, m.resUntil = j.ID, now.Add(tuning.Seconds(wait+3*p.s.Cluster.Workers.ReportS))
+}
+
 // requeue frees a placement that ended without a result, and breaks its gang up.
 func (p *Part) requeue(pl *Placement, now time.Time) {
 	j := pl.job
