--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -286,7 +286,9 @@
 		o.p.Schedule(time.Now())
 		o.mu.Unlock()
 	}
-	for o.ctx.Err() == nil {
+	// Not until nothing is left to commit: on a busy part there always is something
+	// new, and meanwhile nothing would be placed or sent.
+	for more := true; more && o.ctx.Err() == nil; {
 		o.mu.Lock()
 		b := o.p.Batch()
 		o.mu.Unlock()
@@ -296,6 +298,8 @@
 		if !o.commit(b) {
 			return
 		}
+		o.direct()
+		more = b.Full
 	}
 	o.release()
 	o.summarise()
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -51,6 +51,8 @@
 // Batch is a set of changes of a part on its way to the state service.
 type Batch struct {
 	Txn wire.Txn
+	// Full: something was left for the next one.
+	Full bool
 	// slots are the numbers of its journal records, entries what those hold, folds
 	// the chunks whose own records it writes.
 	slots   []uint64
@@ -120,13 +122,16 @@
 		if j.final || j.Cancelled || j.done < j.Tasks {
 			continue
 		}
+		if b.ended != nil {
+			b.Full = true
+			break
+		}
 		// One end per batch keeps conflicts with cancellations apart.
 		rec := JobRecord{Job: j.Job, Phase: wire.Done, Part: p.Index, At: j.At.UnixMilli()}
 		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Stamp: j.Stamp}, wire.Cond{Key: ChunkKey(p.Index, id, 0), Stamp: j.chunks[0].stamp})
 		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: JobKey(id), Value: rec}, wire.Write{Delete: ChunkKey(p.Index, id, 0)})
 		b.ended = j
 		size += 1000
-		break
 	}
 	if p.fold(b, &size, ops) {
 		p.journal(b, &size, ops)
@@ -143,6 +148,7 @@
 			p.forget(b, j, ops)
 		}
 	}
+	b.Full = b.Full || len(b.Txn.Then)+2 > ops || size+tuning.MinJournalBytes > tuning.TxnBytes
 	return b
 }
 
