A summary names all that waits and all machines, in as many records as they take

Arrays that ask for the same are one demand now, notes on machines have records of their own, and records are encoded in a fixed order, so that an unchanged one is not written again.

--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -30,6 +30,9 @@
 
 func summaryKey(part int) string { return summaryPrefix + strconv.Itoa(part) }
 
+// notesKey is the key of one of the records of a part's notes on its machines.
+func notesKey(part, i int) string { return summaryKey(part) + "/" + strconv.Itoa(i) }
+
 type owner struct {
 	node  string
 	stamp uint64
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -280,16 +280,36 @@
 		slog.Debug("summaries not read", "err", err)
 		return
 	}
+	values := map[string]wire.Raw{}
 	for _, it := range items {
+		values[it.Key] = it.Value
+	}
+	for part := range l.c.parts {
 		var s core.Summary
-		var part int
-		if _, err := fmt.Sscanf(it.Key, summaryPrefix+"%d", &part); err != nil || part >= l.c.parts {
+		v, ok := values[summaryKey(part)]
+		if !ok || wire.Unmarshal(v, &s) != nil {
 			continue
 		}
-		if wire.Unmarshal(it.Value, &s) == nil {
-			l.sums[part] = s
+		s.Machines = map[string]core.MachineNote{}
+		for i := range s.Notes {
+			// Into the same map: the records have no name in common.
+			if err := wire.Unmarshal(values[notesKey(part, i)], &s.Machines); err != nil {
+				slog.Debug("notes on machines not read", "part", part, "err", err)
+			}
+		}
+		l.sums[part] = s
+	}
+}
+
+// notes joins what the parts' owners tell of their machines.
+func (l *leader) notes() map[string]core.MachineNote {
+	out := map[string]core.MachineNote{}
+	for _, s := range l.sums {
+		for id, n := range s.Machines {
+			out[id] |= n
 		}
 	}
+	return out
 }
 
 // finishHires calls the cloud for each recorded rental, and again under the same
@@ -388,15 +408,7 @@
 func (l *leader) giveBack(ctx context.Context) {
 	ids, recs := l.machines()
 	now := time.Now()
-	up, bad := map[string]bool{}, map[string]bool{}
-	for _, s := range l.sums {
-		for _, id := range s.Up {
-			up[id] = true
-		}
-		for _, id := range s.Bad {
-			bad[id] = true
-		}
-	}
+	notes := l.notes()
 	boot := map[string]float64{}
 	for _, t := range l.c.catalog() {
 		boot[t.Name] = t.BootS
@@ -418,9 +430,9 @@
 			reason = "failed"
 		case l.absent[id] >= gone:
 			reason = "no longer listed"
-		case bad[id]:
+		case notes[id]&core.NoteBad != 0:
 			reason = "faulty or silent"
-		case late && !up[id] && !(listed && m.State == wire.Up):
+		case late && notes[id]&core.NoteUp == 0 && !(listed && m.State == wire.Up):
 			reason = "did not come up"
 		}
 		if reason != "" && len(back) < tuning.MaxReturn {
@@ -462,21 +474,13 @@
 		return
 	}
 	now := time.Now()
-	up, empty := map[string]bool{}, map[string]bool{}
-	for _, s := range l.sums {
-		for _, id := range s.Up {
-			up[id] = true
-		}
-		for _, id := range s.Empty {
-			empty[id] = true
-		}
-	}
+	notes := l.notes()
 	ids, recs := l.machines()
 	in := core.FleetInput{Types: types, Summaries: l.sums, Refused: map[core.Kind]bool{}}
 	for _, id := range ids {
 		r := recs[id].rec
 		in.Machines = append(in.Machines, core.FleetMachine{ID: id, Kind: core.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot},
-			Part: r.Part, Wish: r.Wish, Empty: empty[id], Up: up[id]})
+			Part: r.Part, Wish: r.Wish, Empty: notes[id]&core.NoteEmpty != 0, Up: notes[id]&core.NoteUp != 0})
 	}
 	l.c.cluster.mu.Lock()
 	for _, h := range l.c.cluster.hires {
@@ -491,7 +495,7 @@
 		}
 	}
 	plan := l.fleet.Plan(in, now)
-	slog.Debug("sizing", "target", plan.Target, "booked", plan.Booked, "up", len(up), "empty", len(empty), "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
+	slog.Debug("sizing", "target", plan.Target, "booked", plan.Booked, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
 	for _, r := range plan.Rentals {
 		most := min(tuning.MaxRent, core.PerGroup(l.c.s.Cluster.State.ValueKB, r.Kind.Type, r.Kind.Zone))
 		for n := r.Count; n > 0; n -= most {
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -25,14 +26,14 @@
 	kick   chan struct{}
 
 	mu   sync.Mutex
-	p    *core.Part // nil until its records are read
-	last []byte     // summary as last written
+	p    *core.Part        // nil until its records are read
+	last map[string][]byte // summary's records as last written
 	told time.Time
 }
 
 func (c *Controller) newOwned(ctx context.Context, index int, stamp uint64) *owned {
 	ctx, cancel := context.WithCancel(ctx)
-	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1)}
+	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1), last: map[string][]byte{}}
 }
 
 func (o *owned) poke() {
@@ -426,7 +427,7 @@
 	return nil
 }
 
-// summarise writes the part's summary when it has changed.
+// summarise writes those of the summary's records that have changed.
 func (o *owned) summarise() {
 	if time.Since(o.told) < tuning.Seconds(o.c.t.SummaryS) {
 		return
@@ -434,18 +435,31 @@
 	o.mu.Lock()
 	s := o.p.Summary(time.Now())
 	o.mu.Unlock()
-	b, err := wire.Marshal(s)
-	if err != nil || bytes.Equal(b, o.last) {
+	records := map[string]any{}
+	notes := s.MachineNotes(o.c.s.Cluster.State.ValueKB)
+	for i, n := range notes {
+		records[notesKey(o.index, i)] = n
+	}
+	s.Notes = len(notes)
+	records[summaryKey(o.index)] = s
+	// The condition on the part's key alone fences it: only owners write here.
+	txn := wire.Txn{If: []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}}}
+	changed := map[string][]byte{}
+	for _, key := range sortedIDs(records) {
+		b, err := wire.Marshal(records[key])
+		if err != nil || bytes.Equal(b, o.last[key]) || len(txn.Then) == o.c.s.Cluster.State.TxnOps {
+			continue
+		}
+		changed[key] = b
+		txn.Then = append(txn.Then, wire.Write{Put: key, Value: wire.Raw(b)})
+	}
+	if len(changed) == 0 {
 		return
 	}
 	o.told = time.Now()
-	// The condition on the part's key alone fences it: only owners write here.
-	if _, err := o.c.store.Commit(o.ctx, wire.Txn{
-		If:   []wire.Cond{{Key: core.PartKey(o.index), Stamp: o.stamp}},
-		Then: []wire.Write{{Put: summaryKey(o.index), Value: s}},
-	}); err != nil {
+	if _, err := o.c.store.Commit(o.ctx, txn); err != nil {
 		slog.Debug("summary not written", "part", o.index, "err", err)
 		return
 	}
-	o.last = b
+	maps.Copy(o.last, changed)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -593,8 +593,11 @@
 	if len(b.jobs["req-1"].placed) != 0 || len(b.Summary(b.now).Waiting) != 0 {
 		t.Fatal("it is tried again at once, or counted as demand")
 	}
-	if s := b.Summary(b.now); len(s.Bad) != 0 {
-		t.Fatalf("machines blamed: %v", s.Bad)
+	for id, n := range b.Summary(b.now).Machines {
+		if n&NoteBad == 0 {
+			continue
+		}
+		t.Fatalf("%s is blamed", id)
 	}
 	b.now = b.now.Add(time.Minute)
 	for i := range 4 {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -113,18 +113,27 @@
 type Summary struct {
 	// Booked room per type, in machines.
 	Booked map[string]float64 `cbor:"booked"`
-	// Waiting tasks that fit no free room.
-	Waiting []Demand `cbor:"waiting"`
-	// Empty machines, which may be moved or given back.
-	Empty []string `cbor:"empty"`
-	// Up are the machines that have reported to this owner.
-	Up []string `cbor:"up"`
 	// Firm is the booked room of jobs that may not use spot machines.
 	Firm map[string]float64 `cbor:"firm"`
-	// Bad machines are to go back: faulty, or silent beyond their lease.
-	Bad []string `cbor:"bad"`
+	// Waiting tasks that fit no free room.
+	Waiting []Demand `cbor:"waiting"`
+	// Machines that have something to tell of. In the state service they stand in
+	// records of their own, since their number has no bound.
+	Machines map[string]MachineNote `cbor:"-"`
+	// Notes is how many such records there are.
+	Notes int `cbor:"notes"`
 }
 
+// MachineNote is what a part's owner tells of a machine.
+type MachineNote uint8
+
+// What there is to tell, in any combination.
+const (
+	NoteUp    MachineNote = 1 << iota // has reported to this owner
+	NoteEmpty                         // may be moved or given back
+	NoteBad                           // is to go back: faulty, deaf, or silent beyond its lease
+)
+
 // Demand is a number of like tasks that wait unplaced.
 type Demand struct {
 	Types   []string `cbor:"t,omitempty"`
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -1,22 +1,26 @@
 package core
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"ambersill/internal/wire"
 )
 
-// maxDemands bounds a summary's size; the leader sizes for the first ones.
-const maxDemands = 24
+// demandBytes is what a demand takes of a summary's record, names apart, in the
+// protocol's measure.
+const demandBytes = 130
 
 // Summary sums up the part for the leader.
 func (p *Part) Summary(now time.Time) Summary {
-	s := Summary{Booked: map[string]float64{}, Firm: map[string]float64{}}
+	s := Summary{Booked: map[string]float64{}, Firm: map[string]float64{}, Machines: map[string]MachineNote{}}
 	for _, id := range p.order {
 		m := p.machines[id]
+		var note MachineNote
 		if m.acked {
-			s.Up = append(s.Up, id)
+			note |= NoteUp
 		}
 		var firm Room
 		for _, pl := range m.places {
@@ -28,14 +32,17 @@
 		if len(m.places) > 0 {
 			s.Booked[m.Rec.Type] += m.size.share(m.used)
 		} else if m.usable() && !(m.reserved != "" && now.Before(m.resUntil)) {
-			s.Empty = append(s.Empty, id)
+			note |= NoteEmpty
 		}
 		if m.sick || m.silent {
-			s.Bad = append(s.Bad, id)
+			note |= NoteBad
 		}
 		if !m.acked && len(m.places) > 0 && now.Sub(m.adopted).Seconds() > p.s.Cluster.Workers.LeaseS+3*p.s.Cluster.Workers.ReportS {
 			// Never heard since the takeover: only its return frees its tasks.
-			s.Bad = append(s.Bad, id)
+			note |= NoteBad
+		}
+		if note != 0 {
+			s.Machines[id] = note
 		}
 	}
 	for _, b := range []map[string]float64{s.Booked, s.Firm} {
@@ -43,6 +50,9 @@
 			b[k] = math.Round(v*1000) / 1000
 		}
 	}
+	// The leader sizes for what fits into the record, the first in turn.
+	left := int(p.s.Cluster.State.ValueKB*1024) - 1024
+	like := map[string]int{}
 	for _, q := range p.queues(now) {
 		for _, j := range q.jobs {
 			if j.held && now.Sub(j.preempted).Seconds() < p.t.PreemptGapS {
@@ -52,14 +62,56 @@
 			if j.Shape == wire.Gang && n < j.Tasks {
 				continue
 			}
-			if n > 0 && len(s.Waiting) < maxDemands {
-				s.Waiting = append(s.Waiting, demand(j, n))
+			if n == 0 {
+				continue
+			}
+			d := demand(j, n)
+			size := demandBytes + len(d.Zone)
+			for _, t := range d.Types {
+				size += len(t) + 3
+			}
+			// Arrays that ask for the same are one demand.
+			key := ""
+			if !d.Gang && d.ZoneMax == 0 && !d.OneZone {
+				key = fmt.Sprint(d.Types, d.Zone, d.Spot, d.CPUs, d.GPUs, d.RAM, d.Level)
+				if i, ok := like[key]; ok {
+					o := &s.Waiting[i]
+					o.Seconds = math.Round((o.Seconds*float64(o.Tasks)+d.Seconds*float64(n))/float64(o.Tasks+n)*10) / 10
+					o.Tasks += n
+					continue
+				}
+			}
+			if size > left {
+				continue
+			}
+			left -= size
+			if key != "" {
+				like[key] = len(s.Waiting)
 			}
+			s.Waiting = append(s.Waiting, d)
 		}
 	}
 	return s
 }
 
+// MachineNotes splits the notes into records that fit a value, in the order of names.
+func (s *Summary) MachineNotes(valueKB float64) []map[string]MachineNote {
+	ids := sortedKeys(s.Machines)
+	longest := 0
+	for _, id := range ids {
+		longest = max(longest, len(id))
+	}
+	var out []map[string]MachineNote
+	for part := range slices.Chunk(ids, max(1, int(valueKB*1024-64)/(longest+6))) {
+		m := make(map[string]MachineNote, len(part))
+		for _, id := range part {
+			m[id] = s.Machines[id]
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
 func demand(j *Job, n int) Demand {
 	d := Demand{Types: j.Types, Zone: j.Zone, Spot: j.Spot, OneZone: j.OneZone, Gang: j.Shape == wire.Gang,
 		CPUs: j.CPUs, GPUs: j.GPUs, RAM: j.RAM, Tasks: n, Seconds: j.Estimate, Level: j.Rank.Level()}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -22,7 +22,7 @@
 const maxReply = 8 << 20
 
 var (
-	encMode = must(cbor.EncOptions{}.EncMode())
+	encMode = must(cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode())
 	decMode = must(cbor.DecOptions{
 		MaxNestedLevels:  16,
 		MaxArrayElements: 1 << 17,
