Machines that do not hear, late copies of reports, a node cut off but for its workers

A lease that runs out although all reports were answered marks a machine as not hearing: its token is raised, nothing is placed there until it shows it, and after a lease and three reports it goes back. Once a lease has surely run out only a risen session counts, so that a late copy makes no dead machine look alive; unknown machines' addresses are not learnt. A node without state service and peers says so at /up and refuses at once, and steps back when a worker shows a higher token.

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
@@ -54,20 +55,35 @@
 		return true
 	}
 	limit := 400 * time.Millisecond
-	better := make(chan bool, len(c.peers))
+	type view struct{ there, better bool }
+	views := make(chan view, len(c.peers))
 	for _, p := range c.peers {
 		go func() {
 			var a mesh.Answer
 			err := p.Call("Mesh.View", mesh.Query{}, &a, limit)
-			better <- err == nil && a.Contact < 3
+			views <- view{err == nil, err == nil && a.Contact < c.t.FreshS}
 		}()
 	}
+	there := len(c.peers) == 0
 	for range c.peers {
-		if <-better {
+		v := <-views
+		if v.better {
 			return false
 		}
+		there = there || v.there
 	}
-	return true
+	// Without the state service and without any other node, it is this one that is
+	// cut off, as far as anybody can tell.
+	return there
+}
+
+// inTouch refuses what takes the state service while that serves this node with
+// nothing: a user is told to come back at once, not after a wait.
+func (c *Controller) inTouch() error {
+	if d := c.store.SinceContact(); d > tuning.Seconds(c.t.FreshS) {
+		return fmt.Errorf("no contact to the state service for %.0f s", d.Seconds())
+	}
+	return nil
 }
 
 // final returns a job whose end this node knows to be committed.
@@ -100,6 +116,9 @@
 		return r, 0, nil
 	}
 	var r core.JobRecord
+	if err := c.inTouch(); err != nil {
+		return r, 0, err
+	}
 	it, err := c.store.Get(ctx, core.JobKey(id))
 	if err != nil {
 		return r, 0, err
@@ -154,6 +173,9 @@
 		}
 		return wire.JobView{}, false, err
 	}
+	if err := c.inTouch(); err != nil {
+		return wire.JobView{}, false, err
+	}
 	rec := core.JobRecord{Job: j, Phase: wire.Queued, Part: c.partOf(j), At: time.Now().UnixMilli()}
 	key := core.JobKey(j.ID)
 	_, err = c.store.Commit(ctx, wire.Txn{
@@ -263,11 +285,13 @@
 
 // Report answers a worker, or names the node that does.
 func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
-	c.learn(r.Machine, r.Addr)
 	e, known := c.cluster.machine(r.Machine)
 	if !known {
+		// Not rented yet as far as is known here, or returned: a late copy of a report
+		// must not bring its address back.
 		return wire.ReportReply{}, "", false
 	}
+	c.learn(r.Machine, r.Addr)
 	if c.ownedPart(e.rec.Part) != nil {
 		reply, ok := c.Relay(r)
 		return reply, "", ok
@@ -347,6 +371,11 @@
 	v, reply := o.p.Report(r, time.Now(), away < tuning.Seconds(c.t.FreshS))
 	if v != core.Accepted {
 		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
+		if v == core.Outranked && away > tuning.Seconds(c.t.FreshS) {
+			// Another owner has spoken to it, and nobody else can tell this node: it
+			// must not keep other machines from that owner.
+			go c.lose(o, "a worker has seen a higher token")
+		}
 		return reply, false
 	}
 	o.poke()
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -30,6 +30,11 @@
 	if r.Token > m.token {
 		return Outranked, reply
 	}
+	if m.silent && r.Session <= m.session {
+		// Its lease has surely run out, after which its session rises: what still
+		// comes of the old one is a late copy, and the machine may be dead.
+		return Stale, reply
+	}
 	// Reports held back by a cut arrive late; their lists are as old as they are.
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		if r.Session == m.session && r.Seq > max(m.reported, m.overtook) {
@@ -41,6 +46,7 @@
 		}
 		return Stale, reply
 	}
+	p.listen(m, r, now)
 	if r.Session > m.session {
 		m.overtook = 0
 	}
@@ -58,6 +64,12 @@
 	if acked {
 		p.ack(m, now)
 	}
+	switch unheard := !acked || m.doubt; {
+	case !unheard:
+		m.deaf = time.Time{}
+	case m.deaf.IsZero():
+		m.deaf = now
+	}
 	reply.Token = m.token
 	p.takeTasks(m, r, acked, now)
 	if m.notice {
@@ -67,6 +79,24 @@
 	return Accepted, reply
 }
 
+// listen notices a machine that is heard but does not hear: its lease ran out
+// although all its reports were answered for as long as the lease lasts. Nothing is
+// placed there until it has shown a token that it can have from an answer only.
+func (p *Part) listen(m *Machine, r *wire.Report, now time.Time) {
+	lease := tuning.Seconds(p.s.Cluster.Workers.LeaseS)
+	if m.run.IsZero() || now.Sub(m.answered) > lease {
+		m.run = now
+	}
+	if r.Session <= m.session {
+		return
+	}
+	if m.spoken && !m.doubt && now.Sub(m.run) >= lease {
+		m.doubt, m.doubtToken = true, m.token
+		p.room++
+	}
+	m.run = now
+}
+
 // takeTasks compares the worker's list with the placements.
 func (p *Part) takeTasks(m *Machine, r *wire.Report, acked bool, now time.Time) {
 	shown := make(map[attempt]bool, len(r.Tasks))
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -176,6 +176,8 @@
 	reported uint64    // number of the newest message that was a report
 	overtook uint64    // number of the newest report that an order's answer overtook
 	answered time.Time // last report answered
+	run      time.Time // since when its reports have been answered without a gap
+	deaf     time.Time // since when it reports without showing the present token
 	heard    bool
 	notice   bool
 	// ordering: an order with starts is under way. doubt: one was not answered,
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
 
@@ -37,9 +38,15 @@
 		if m.sick || m.silent {
 			note |= NoteBad
 		}
-		if !m.acked && len(m.places) > 0 && now.Sub(m.adopted).Seconds() > p.s.Cluster.Workers.LeaseS+3*p.s.Cluster.Workers.ReportS {
+		w := p.s.Cluster.Workers
+		patience := tuning.Seconds(w.LeaseS + 3*w.ReportS)
+		switch {
+		case !m.acked && len(m.places) > 0 && now.Sub(m.adopted) > patience:
 			// Never heard since the takeover: only its return frees its tasks.
 			note |= NoteBad
+		case !m.deaf.IsZero() && now.Sub(m.deaf) > patience:
+			// It reports, but neither answers nor orders arrive there.
+			note |= NoteBad
 		}
 		if note != 0 {
 			s.Machines[id] = note
