--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -14,8 +14,8 @@
 const slice = 8
 
 // firstSlice is how many tasks of an array go first because it has waited too long
-// for its first start; with those it has begun.
-const firstSlice = 2
+// for its first start; with that it has begun.
+const firstSlice = 1
 
 // Schedule places waiting tasks: a queue per team, the teams served in turn by
 // shares, guaranteed work first, then by rank.
@@ -65,23 +65,42 @@
 
 func (p *Part) before(q, o *queue) bool {
 	a, b := q.jobs[0], o.jobs[0]
-	if a.aged || b.aged {
-		return a.aged && (!b.aged || a.At.Before(b.At))
-	}
-	if a.covered != b.covered {
-		return a.covered
-	}
-	if x, y := a.Rank.Level(), b.Rank.Level(); x != y {
-		return x > y
+	if d := urgency(a, b); d != 0 {
+		return d > 0
 	}
 	// Shares are compared in steps, since even shares to the last bit would have
 	// all teams' jobs end late together.
-	if x, y := math.Floor(q.load()/p.t.LoadStep), math.Floor(o.load()/p.t.LoadStep); x != y {
+	if x, y := math.Floor(q.load()/p.t.LoadStep), math.Floor(o.load()/p.t.LoadStep); x != y && !a.aged {
 		return x < y
 	}
 	return p.earlier(a, b)
 }
 
+// urgency compares two jobs by what comes before size and shares; above 0: a first.
+// Work that has to begin now goes before all; then guaranteed work, then by rank,
+// and among equals what has waited long for its first start.
+func urgency(a, b *Job) int {
+	first := func(x, y bool) int {
+		switch {
+		case x == y:
+			return 0
+		case x:
+			return 1
+		}
+		return -1
+	}
+	if d := first(a.overdue, b.overdue); d != 0 {
+		return d
+	}
+	if d := first(a.covered, b.covered); d != 0 && !a.overdue {
+		return d
+	}
+	if d := a.Rank.Level() - b.Rank.Level(); d != 0 && !a.overdue {
+		return d
+	}
+	return first(a.aged, b.aged)
+}
+
 // due is when a job's turn is. Without a deadline, little work comes before much:
 // that gets the most jobs over in good time, and age still wins in the end.
 func (p *Part) due(j *Job) time.Time {
@@ -93,6 +112,9 @@
 }
 
 func (p *Part) earlier(a, b *Job) bool {
+	if a.aged && b.aged && !a.At.Equal(b.At) {
+		return a.At.Before(b.At)
+	}
 	if x, y := p.due(a), p.due(b); !x.Equal(y) {
 		return x.Before(y)
 	}
@@ -123,6 +145,8 @@
 			j.covered = t.covers(sum)
 			begun := j.started || j.done > 0 || (j.Shape != wire.Gang && len(j.placed) > 0)
 			j.aged = !begun && now.Sub(j.At) > tuning.Seconds(p.t.StarveS)
+			j.overdue = !begun && now.Sub(j.At) > tuning.Seconds(p.t.OverdueS)
+			j.forced = !begun && now.Sub(j.At) > tuning.Seconds(p.t.ForceS)
 			j.old = now.Sub(j.At) > tuning.Seconds(2*p.t.StarveS)
 			j.plain = j.GPUs == 0 && p.plain(j.Job)
 		}
@@ -135,14 +159,8 @@
 		}
 		sort.SliceStable(q.jobs, func(a, b int) bool {
 			x, y := q.jobs[a], q.jobs[b]
-			if x.aged || y.aged {
-				return x.aged && (!y.aged || x.At.Before(y.At))
-			}
-			if x.covered != y.covered {
-				return x.covered
-			}
-			if l, m := x.Rank.Level(), y.Rank.Level(); l != m {
-				return l > m
+			if d := urgency(x, y); d != 0 {
+				return d > 0
 			}
 			return p.earlier(x, y)
 		})
@@ -159,7 +177,7 @@
 		return false
 	}
 	n := min(j.waiting, slice)
-	if j.aged {
+	if j.overdue {
 		n = min(n, firstSlice)
 	}
 	if j.Shape == wire.Gang {
@@ -198,7 +216,7 @@
 			continue
 		}
 		m := where[k]
-		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session, shielded: j.aged}
+		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session, shielded: j.forced}
 		p.attach(pl)
 		c := pl.chunk()
 		p.touch(c, i)
@@ -273,6 +291,9 @@
 		if m.reserved != "" && m.reserved != j.ID && now.Before(m.resUntil) {
 			continue
 		}
+		if j.overdue && !j.forced && j.Shape != wire.Gang && len(m.places) == 0 {
+			continue // others that go after it may need the machine as a whole
+		}
 		if f := free(m); !f.holds(r) || !spare(j, m, f) {
 			continue
 		}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -111,7 +111,9 @@
 	old       bool      // has waited so long that it takes any room
 	plain     bool      // types without GPUs could do it
 	gathers   time.Time // until then machines are kept free for it
-	aged      bool      // has waited so long for its first start that it goes first
+	aged      bool      // has waited so long for its first start that it goes first among equals
+	overdue   bool      // so long that it goes before all
+	forced    bool      // so long that it takes any machine, and keeps it
 }
 
 // Placement is a task that may be, or may come to be, on a machine.
@@ -131,8 +133,8 @@
 	fetched bool      // has been seen with its image
 	kill    *killOrder
 	over    bool // its gang is done; only the machine's word is awaited
-	// shielded: placed after its job had waited too long for its first start. Work
-	// of higher rank would else stop it before it ran, again and again.
+	// shielded: placed when its job was forced, and not to be stopped for others,
+	// which would else go on and on before it ran.
 	shielded bool
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -70,10 +70,16 @@
 	// LoadStep: how much of its guarantee, or of a usual machine without one, a
 	// team may use more than another and still be its equal.
 	LoadStep float64
-	// StarveS: seconds that size, rank and shares may keep a job from its first start.
-	// Past it the job goes first, and room is gathered for it; well below the four
-	// minutes within which any job that can run has to begin.
+	// StarveS: seconds that size and shares may keep a job from its first start.
+	// Past it the job goes before others of its rank, and room is gathered for it.
 	StarveS float64
+	// OverdueS: seconds that rank and guarantees may, too. Past it a job's first task
+	// goes before all on machines that are in use, a gang on any.
+	OverdueS float64
+	// ForceS: seconds after which it takes any machine, from urgent work that needs it
+	// as a whole, and is not stopped for others; below the four minutes within which
+	// all that can run has to begin, by the time that a start takes.
+	ForceS float64
 	// ConsolidateS: seconds between two attempts to empty a machine.
 	ConsolidateS float64
 	// OrdinaryCostS: seconds of image fetch that it is worth to keep work that
@@ -106,7 +112,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 160, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 120, OverdueS: 150, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, LeaderShare: 0.25, FinalCache: 4096,
 	}
 }
