--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -242,7 +242,7 @@
 	}
 	for _, m := range list {
 		if _, ok := recs[m.ID]; !ok && m.State == wire.Failed {
-			l.giveUp(ctx, []string{m.ID}, "failed")
+			l.giveUp(ctx, []string{m.ID}, map[string][]string{"failed": {m.ID}})
 		}
 	}
 }
@@ -417,7 +417,7 @@
 	// can be missing from some although it is there.
 	gone := 3 + int(l.c.s.Cluster.Cloud.ListLagS/l.c.t.ListS)
 	var back []string
-	why := ""
+	why := map[string][]string{}
 	for _, id := range ids {
 		e := recs[id]
 		m, listed := l.listed[id]
@@ -437,7 +437,7 @@
 		}
 		if reason != "" && len(back) < tuning.MaxReturn {
 			back = append(back, id)
-			why = reason
+			why[reason] = append(why[reason], id)
 		}
 	}
 	if len(back) > 0 {
@@ -447,12 +447,14 @@
 
 // giveUp returns machines; once that is answered, they and all on them are
 // gone, and only then do their records go.
-func (l *leader) giveUp(ctx context.Context, ids []string, why string) {
+func (l *leader) giveUp(ctx context.Context, ids []string, why map[string][]string) {
 	if err := l.c.cloud.Return(ctx, ids); err != nil {
 		slog.Debug("machines not returned", "ids", ids, "err", err)
 		return
 	}
-	slog.Info("returned", "machines", ids, "why", why)
+	for _, reason := range sortedIDs(why) {
+		slog.Info("returned", "machines", why[reason], "why", reason)
+	}
 	changes := map[string]*core.MachineRecord{}
 	for _, id := range ids {
 		l.gone[id] = time.Now()
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -431,9 +431,10 @@
 	if now.Sub(j.preempted) < tuning.Seconds(p.t.PreemptGapS) {
 		return
 	}
-	if !p.mayOutrank(j) {
+	if !p.mayOutrank(j) || now.Sub(j.searched) < tuning.Seconds(p.t.SearchGapS) {
 		return
 	}
+	j.searched = now
 	victims := func(m *Machine) []*Placement {
 		var out []*Placement
 		for _, k := range sortedAttempts(m.places) {
@@ -445,8 +446,10 @@
 	}
 	where := p.fit(j, n, now, func(m *Machine) Room {
 		f := m.free()
-		for _, pl := range victims(m) {
-			f = f.add(need(pl.job.Job))
+		for _, pl := range m.places {
+			if p.yields(pl, j) {
+				f = f.add(need(pl.job.Job))
+			}
 		}
 		return f
 	})
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -344,9 +344,21 @@
 	// start may be under way in the answer to a report.
 	for _, id := range p.order {
 		m := p.machines[id]
+		if m.ordering || m.doubt || !m.acked {
+			continue
+		}
+		gone := func(pl *Placement) bool {
+			return pl != nil && pl.kill != nil && !pl.seen && pl.sent && pl.session == m.session && m.reported > pl.sentSeq
+		}
+		some := false
+		for _, pl := range m.places {
+			some = some || gone(pl)
+		}
+		if !some {
+			continue
+		}
 		for _, k := range sortedAttempts(m.places) {
-			pl := m.places[k]
-			if pl != nil && pl.kill != nil && !pl.seen && pl.sent && !m.ordering && !m.doubt && pl.session == m.session && m.acked && m.reported > pl.sentSeq {
+			if pl := m.places[k]; gone(pl) {
 				p.requeue(pl, now)
 			}
 		}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -104,6 +104,7 @@
 	// A search for room is repeated only after room has changed.
 	noRoom    int
 	preempted time.Time
+	searched  time.Time // last search for work that yields to it
 	held      bool      // room is being made for it, so it is no demand for rentals
 	fetchS    float64   // seconds that its image's fetch takes at least, where it has room
 	covered   bool      // fits the guarantee with the team's earlier jobs
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -64,6 +64,9 @@
 	SickErrors int
 	// PreemptGapS: seconds before the same job may stop others again.
 	PreemptGapS float64
+	// SearchGapS: seconds between two searches for work that yields to a job; one looks
+	// at every task of every machine that it may use.
+	SearchGapS float64
 	// WorkWeight: seconds that a job's turn comes later for each CPU-second of
 	// work that it has left.
 	WorkWeight float64
@@ -112,7 +115,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 120, OverdueS: 150, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 120, OverdueS: 150, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, LeaderShare: 0.25, FinalCache: 4096,
 	}
 }
