--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -262,6 +262,90 @@
 	}
 }
 
+// Late copies of reports: to an owner that has found the lease surely run out, one of
+// the old session makes no dead machine look alive; to one that was overtaken by an
+// order's answer it clears no notice; to a new owner it frees nothing.
+func TestLateCopiesOfReports(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", true)
+	j := array("req-1", 1, 1)
+	j.Spot = true
+	b.add(j)
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	m := b.machines["m-1"]
+	tok := m.token
+	b.now = b.now.Add(20 * time.Second)
+	b.Schedule(b.now) // silent now
+	late := &wire.Report{Machine: "m-1", Session: 1, Seq: 90, Token: tok}
+	if v, _ := b.Report(late, b.now, true); v != Stale || !m.silent || m.usable() {
+		t.Fatalf("verdict %v: a late copy makes a dead machine look alive", v)
+	}
+	if v, _ := b.Report(&wire.Report{Machine: "m-1", Session: 2, Seq: 91, Token: tok}, b.now, true); v != Accepted || m.silent {
+		t.Fatalf("verdict %v on a report of the next session", v)
+	}
+	left := 9.0
+	b.Report(&wire.Report{Machine: "m-1", Session: 2, Seq: 92, Token: tok, Notice: &left}, b.now, true)
+	b.Heard(&wire.Report{Machine: "m-1", Session: 2, Seq: 95, Token: tok, Notice: &left}, b.now)
+	for _, seq := range []uint64{91, 94} {
+		b.Report(&wire.Report{Machine: "m-1", Session: 2, Seq: seq, Token: tok}, b.now, true)
+		if !m.notice {
+			t.Fatalf("report %d clears the notice", seq)
+		}
+	}
+	o := newBed()
+	o.Stamp = 500
+	o.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, 100, o.now)
+	d := array("req-1", 1, 1)
+	o.Load([]LoadedChunk{{Job: "req-1", Stamp: 100, Record: ChunkRecord{Job: &d, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 2}}}}}, nil)
+	for _, r := range []wire.Report{{Session: 1, Seq: 50, Token: tok}, {Session: 2, Seq: 92, Token: tok}} {
+		r.Machine = "m-1"
+		o.Report(&r, o.now, true)
+		if len(o.machines["m-1"].places) != 1 || o.machines["m-1"].usable() {
+			t.Fatalf("a late copy frees a placement, or makes its machine usable: %+v", r)
+		}
+	}
+}
+
+// A machine that is heard but does not hear: its lease runs out although every report
+// was answered. It takes no tasks until it shows a raised token, and then goes back.
+func TestMachineThatDoesNotHear(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	m := b.machines["m-1"]
+	seq := b.seq["m-1"]
+	speak := func(session uint64, d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(2 * time.Second) {
+			seq++
+			b.Report(&wire.Report{Machine: "m-1", Session: session, Seq: seq, Token: m.token}, b.now, true)
+		}
+	}
+	speak(1, 16*time.Second)
+	if !m.usable() {
+		t.Fatal("not usable while nothing tells")
+	}
+	speak(2, 2*time.Second)
+	if m.usable() || len(b.Doubtful()) != 1 {
+		t.Fatal("usable although its lease ran out under answered reports")
+	}
+	rec := m.Rec
+	rec.Token = b.rev + 1
+	b.SetMachine("m-1", rec, b.rev+1, b.now)
+	for range 12 {
+		seq++
+		b.now = b.now.Add(2 * time.Second)
+		b.Report(&wire.Report{Machine: "m-1", Session: 3, Seq: seq, Token: rec.Token - 1}, b.now, true)
+	}
+	if m.usable() || b.Summary(b.now).Machines["m-1"]&NoteBad == 0 {
+		t.Fatal("it is not given back")
+	}
+	b.Report(&wire.Report{Machine: "m-1", Session: 3, Seq: seq + 1, Token: rec.Token}, b.now, true)
+	if !m.usable() || b.Summary(b.now).Machines["m-1"]&NoteBad != 0 {
+		t.Fatal("still shunned although it has shown the raised token")
+	}
+}
+
 // A gang that loses a task is stopped whole, and begins anew under a new attempt
 // only after the last of it is gone.
 func TestGangStartsAnewOnlyWhenGone(t *testing.T) {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +45,97 @@
 		}
 	}
 }
+
+// jsonBytes is a value's size in the protocol's measure.
+func jsonBytes(t *testing.T, v any) int {
+	raw, err := wire.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var plain any
+	if err := wire.Unmarshal(raw, &plain); err != nil {
+		t.Fatal(err)
+	}
+	out, err := json.Marshal(textKeys(plain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(out)
+}
+
+func textKeys(v any) any {
+	switch x := v.(type) {
+	case map[any]any:
+		out := map[string]any{}
+		for k, e := range x {
+			out[fmt.Sprint(k)] = textKeys(e)
+		}
+		return out
+	case []any:
+		for i := range x {
+			x[i] = textKeys(x[i])
+		}
+	}
+	return v
+}
+
+// With several times the machines and jobs of any deployment served, each record
+// stays within a value, and a transaction within 64 KiB: one that does not would be
+// refused for ever, and with it all that it holds.
+func TestRecordsStayWithinTheirLimits(t *testing.T) {
+	b := newBed()
+	limit := int(b.s.Cluster.State.ValueKB * 1024)
+	long := strings.Repeat("x", 60)
+	recs := map[string]MachineRecord{}
+	per := PerGroup(b.s.Cluster.State.ValueKB, long, long)
+	for i := range 1500 {
+		id := fmt.Sprintf("m-%09d", i)
+		b.machine(id, "cpu", "a", false)
+		if i < per {
+			recs[id] = MachineRecord{Type: long, Zone: long, Spot: true, Part: 4, Wish: WishReturn, To: 3, Free: true, Born: 1 << 41, Token: 1 << 40}
+		}
+	}
+	if n := jsonBytes(t, GroupRecord{Machines: recs}); n > limit {
+		t.Errorf("a group of %d bytes", n)
+	}
+	for i := range 600 {
+		j := array(fmt.Sprintf("req-%06d", i), 128, 1+float64(i)/1000)
+		j.Class, j.Team, j.Image = long, long, long
+		b.add(j)
+	}
+	for round := range 3 {
+		b.Schedule(b.now)
+		for {
+			x := b.Batch()
+			if x.Empty() {
+				break
+			}
+			if n := jsonBytes(t, x.Txn); n > 64<<10 || len(x.Txn.Then) > b.s.Cluster.State.TxnOps || len(x.Txn.If) > 4*b.s.Cluster.State.TxnOps {
+				t.Fatalf("a transaction of %d bytes, %d changes, %d conditions", n, len(x.Txn.Then), len(x.Txn.If))
+			}
+			for _, w := range x.Txn.Then {
+				if n := jsonBytes(t, w.Value); n > limit {
+					t.Fatalf("%s has %d bytes", w.Put, n)
+				}
+			}
+			b.rev++
+			b.Committed(x, b.rev)
+		}
+		s := b.Summary(b.now)
+		for _, notes := range s.MachineNotes(b.s.Cluster.State.ValueKB) {
+			if n := jsonBytes(t, notes); n > limit {
+				t.Fatalf("notes of %d bytes", n)
+			}
+		}
+		if n := jsonBytes(t, s); n > limit || len(s.Waiting) == 0 {
+			t.Fatalf("a summary of %d bytes with %d demands", n, len(s.Waiting))
+		}
+		for _, id := range b.order[:300*(round+1)] {
+			b.report(id)
+			for _, a := range sortedAttempts(b.machines[id].places) {
+				b.end(id, a.task, a.try, wire.CauseDone)
+			}
+			b.report(id)
+		}
+	}
+}
