--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -51,7 +51,8 @@
 	if len(c.catalog()) == 0 {
 		return false
 	}
-	if c.store.SinceContact() < 6*time.Second {
+	// Half as long again as what stops starts, so that one slow answer changes nothing.
+	if c.store.SinceContact() < tuning.Seconds(1.5*c.t.FreshS) {
 		return true
 	}
 	limit := 400 * time.Millisecond
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -20,6 +20,7 @@
 // Schedule places waiting tasks: a queue per team, the teams served in turn by
 // shares, guaranteed work first, then by rank.
 func (p *Part) Schedule(now time.Time) {
+	p.now = now
 	p.Sweep(now)
 	queues := p.queues(now)
 	for len(queues) > 0 {
@@ -516,7 +517,7 @@
 // yields tells whether a placement may be stopped for a job.
 func (p *Part) yields(pl *Placement, j *Job) bool {
 	o := pl.job
-	if o == j || pl.over || pl.shielded {
+	if o == j || pl.over || pl.shielded && (pl.began.IsZero() || p.now.Sub(pl.began) < tuning.Seconds(p.t.SettledS)) {
 		return false
 	}
 	if o.Rank.Level() < j.Rank.Level() {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -134,8 +134,8 @@
 	fetched bool      // has been seen with its image
 	kill    *killOrder
 	over    bool // its gang is done; only the machine's word is awaited
-	// shielded: placed when its job was forced, and not to be stopped for others,
-	// which would else go on and on before it ran.
+	// shielded: placed when its job was forced, and not to be stopped for others until
+	// its start counts; it would else be stopped again and again before it ran.
 	shielded bool
 }
 
@@ -265,6 +265,7 @@
 	dirty    map[*chunk]bool
 	unfolded map[*chunk]bool
 	touches  int
+	now      time.Time // of the pass under way
 	// stats for the log line
 	Started, Finished, Requeued, Preempted, Moved int
 	Journaled, Folded, Gathered, Incomplete       int
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -75,6 +75,8 @@
 	LoadStep float64
 	// StarveS: seconds that size and shares may keep a job from its first start.
 	// Past it the job goes before others of its rank, and room is gathered for it.
+	// Earlier, the oldest of an overloaded class would go first, image at hand or not,
+	// and all of it be late.
 	StarveS float64
 	// OverdueS: seconds that rank and guarantees may, too. Past it a job's first task
 	// goes before all on machines that are in use, a gang on any.
@@ -115,7 +117,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 120, OverdueS: 150, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 180, OverdueS: 180, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, LeaderShare: 0.25, FinalCache: 4096,
 	}
 }
