--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -238,9 +238,9 @@
 			time.AfterFunc(time.Duration(5+rnd.IntN(60))*time.Second, func() { w.Deafen(false) })
 		case k == 10: // a controller has its workers only
 			i := rnd.IntN(3)
-			d.alone(i, true)
+			d.alone(i, true, rnd)
 			time.Sleep(time.Duration(4+rnd.IntN(50)) * time.Second)
-			d.alone(i, false)
+			d.alone(i, false, rnd)
 		case k == 1: // all crash
 			for i := range 3 {
 				d.crash(i)
@@ -286,14 +286,14 @@
 
 // alone cuts a controller off from the state service and the other controllers, but
 // not from its workers, or joins it again.
-func (d *day) alone(i int, cut bool) {
+func (d *day) alone(i int, cut bool, rnd *rand.Rand) {
 	hosts := []string{"state"}
 	for k, n := range d.nodes {
 		if k != i {
 			hosts = append(hosts, n.Name)
 		}
 	}
-	d.rnd.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
+	rnd.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
 	for _, h := range hosts {
 		d.fabric.Cut(d.nodes[i].Name, h, cut)
 	}
@@ -442,7 +442,7 @@
 			d.t.Fatalf("%d starts", d.world.Starts())
 		}
 		for i := range d.nodes { // whichever owns the part, one after the other
-			d.alone(i, true)
+			d.alone(i, true, d.rnd)
 			time.Sleep(8 * time.Second)
 			began := time.Now()
 			if status := d.ask(i, "/up"); status != http.StatusServiceUnavailable {
@@ -454,7 +454,7 @@
 			if took := time.Since(began); took > 600*time.Millisecond {
 				d.t.Errorf("answered after %v", took)
 			}
-			d.alone(i, false)
+			d.alone(i, false, d.rnd)
 			time.Sleep(6 * time.Second)
 		}
 		d.finish(10 * time.Minute)
