A leader without the state service calls nobody; seizing goes on until all have heard

Now a leader without contact waits, and an owner seizes again until every machine with work has shown its token.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -121,6 +121,12 @@
 	}
 	var lastList, lastSum time.Time
 	for ctx.Err() == nil && l.leads() {
+		if l.c.inTouch() != nil {
+			// Another may lead by now: calls to the cloud would take its share of them,
+			// and give machines back that it counts on.
+			transport.Pause(ctx, 250*time.Millisecond)
+			continue
+		}
 		now := time.Now()
 		if now.Sub(lastList) >= tuning.Seconds(l.c.t.ListS) {
 			lastList = now
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -147,33 +147,40 @@
 	return rev, nil
 }
 
-// seize raises the token of every machine at once, rather than at its next report.
+// seize raises the token of every machine at once, rather than at its next report,
+// and goes on until all have shown it: workers that report to a former owner, which is
+// cut off and does not know, hear of this one by no other way.
 func (o *owned) seize() {
-	if list, err := o.c.cloud.List(o.ctx); err == nil {
-		for _, m := range list {
-			o.c.learn(m.ID, m.Addr)
+	listed := false
+	for o.ctx.Err() == nil {
+		o.mu.Lock()
+		ids := o.p.Unheard()
+		o.mu.Unlock()
+		if len(ids) == 0 {
+			return
 		}
-	}
-	o.mu.Lock()
-	type target struct{ id, addr string }
-	var ts []target
-	for _, id := range o.p.MachineIDs() {
-		if addr := o.c.addr(id); addr != "" {
-			ts = append(ts, target{id, addr})
+		if !listed {
+			list, err := o.c.cloud.List(o.ctx)
+			for _, m := range list {
+				o.c.learn(m.ID, m.Addr)
+			}
+			listed = err == nil
 		}
-	}
-	o.mu.Unlock()
-	sem := make(chan struct{}, 8)
-	for _, t := range ts {
-		select {
-		case sem <- struct{}{}:
-		case <-o.ctx.Done():
-			return
+		var wg sync.WaitGroup
+		sem := make(chan struct{}, 8)
+		for _, id := range ids {
+			addr := o.c.addr(id)
+			if addr == "" {
+				continue
+			}
+			sem <- struct{}{}
+			wg.Go(func() {
+				o.seizeOne(id, addr)
+				<-sem
+			})
 		}
-		go func() {
-			defer func() { <-sem }()
-			o.seizeOne(t.id, t.addr)
-		}()
+		wg.Wait()
+		transport.Pause(o.ctx, tuning.Seconds(o.c.s.Cluster.Workers.ReportS))
 	}
 }
 
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -375,6 +375,18 @@
 	return wire.Orders{Token: m.token, Session: m.session, Commands: []wire.Command{}}, true
 }
 
+// Unheard lists the machines with work of an earlier owner that have not shown the
+// present token yet.
+func (p *Part) Unheard() []string {
+	var out []string
+	for _, id := range p.order {
+		if m := p.machines[id]; !m.acked && !m.spoken && len(m.places) > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Urgent lists machines that should hear orders before their next report.
 func (p *Part) Urgent() []string {
 	var out []string
