--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -13,6 +13,10 @@
 // team's turn.
 const slice = 8
 
+// firstSlice is how many tasks of an array go first because it has waited too long
+// for its first start; with those it has begun.
+const firstSlice = 2
+
 // Schedule places waiting tasks: a queue per team, the teams served in turn by
 // shares, guaranteed work first, then by rank.
 func (p *Part) Schedule(now time.Time) {
@@ -117,7 +121,7 @@
 		for _, j := range jobs {
 			sum = sum.add(need(j.Job).times(j.Tasks - j.done))
 			j.covered = t.covers(sum)
-			begun := j.started || j.done > 0 || (j.Shape != wire.Gang && j.try > 0)
+			begun := j.started || j.done > 0 || (j.Shape != wire.Gang && len(j.placed) > 0)
 			j.aged = !begun && now.Sub(j.At) > tuning.Seconds(p.t.StarveS)
 			j.old = now.Sub(j.At) > tuning.Seconds(2*p.t.StarveS)
 			j.plain = j.GPUs == 0 && p.plain(j.Job)
@@ -155,6 +159,9 @@
 		return false
 	}
 	n := min(j.waiting, slice)
+	if j.aged {
+		n = min(n, firstSlice)
+	}
 	if j.Shape == wire.Gang {
 		n = j.Tasks
 		if j.waiting < n {
@@ -191,7 +198,7 @@
 			continue
 		}
 		m := where[k]
-		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session}
+		pl := &Placement{job: j, task: i, try: j.try, machine: m, session: m.session, shielded: j.aged}
 		p.attach(pl)
 		c := pl.chunk()
 		p.touch(c, i)
@@ -317,7 +324,7 @@
 // share of its other room, where other types could do its work: GPUs are the scarce
 // part, and idle with nothing beside. A job that has waited long takes any room.
 func spare(j *Job, m *Machine, free Room) bool {
-	if j.GPUs > 0 || m.size.GPUs == 0 || !j.plain || j.aged || j.old {
+	if j.GPUs > 0 || m.size.GPUs == 0 || !j.plain || j.old {
 		return true
 	}
 	rest := free.sub(need(j.Job))
@@ -485,7 +492,7 @@
 // yields tells whether a placement may be stopped for a job.
 func (p *Part) yields(pl *Placement, j *Job) bool {
 	o := pl.job
-	if o == j || pl.over {
+	if o == j || pl.over || pl.shielded {
 		return false
 	}
 	if o.Rank.Level() < j.Rank.Level() {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -131,6 +131,9 @@
 	fetched bool      // has been seen with its image
 	kill    *killOrder
 	over    bool // its gang is done; only the machine's word is awaited
+	// shielded: placed after its job had waited too long for its first start. Work
+	// of higher rank would else stop it before it ran, again and again.
+	shielded bool
 }
 
 type killOrder struct {
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -62,6 +62,8 @@
 			}
 		case http.StatusNotFound:
 			u.World.Missing(j.ID, status)
+		default:
+			u.World.Unanswered(j.ID)
 		}
 		transport.Pause(ctx, 5*time.Second)
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -46,6 +46,7 @@
 	hung    bool
 	resume  chan struct{}
 	faulty  bool
+	deaf    bool // its reports leave, but no answer and no order arrives
 	changed chan struct{}
 	node    int
 	cancel  context.CancelFunc
@@ -100,6 +101,13 @@
 	k.faulty = on
 }
 
+// Deafen lets reports out, but no answer and no order in.
+func (k *Worker) Deafen(on bool) {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	k.deaf = on
+}
+
 // Warn gives notice that the machine is taken away after d.
 func (k *Worker) Warn(d time.Duration) {
 	k.world.mu.Lock()
@@ -164,6 +172,7 @@
 		rep := k.report()
 		sent := time.Now()
 		node := k.world.Nodes[k.node%len(k.world.Nodes)]
+		copies := k.world.Copies
 		k.world.mu.Unlock()
 		if hung {
 			select {
@@ -176,9 +185,18 @@
 		next := time.Second
 		var ans wire.ReportReply
 		var redirect wire.Redirect
+		if copies != nil {
+			if late, to, ok := copies(); ok {
+				time.AfterFunc(late, func() {
+					k.post(k.world.Ctx, k.world.client(), "http://"+to.Addr+"/agent/beat", rep, &wire.ReportReply{}, &wire.Redirect{})
+				})
+			}
+		}
 		status := k.post(ctx, cl, "http://"+node.Addr+"/agent/beat", rep, &ans, &redirect)
 		k.world.mu.Lock()
 		switch {
+		case k.deaf:
+			k.node++
 		case k.hung:
 			// What came meanwhile waits; the answer is too old when it goes on.
 		case status == http.StatusOK:
@@ -247,6 +265,10 @@
 			return
 		}
 		k.world.mu.Lock()
+		if k.deaf {
+			k.world.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		for k.hung {
 			// A hanging machine carries the order out when it goes on.
 			resume := k.resume
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,6 +30,8 @@
 	Cancelled time.Duration // cancel_s
 	// RunTime of a task; nil: its estimate.
 	RunTime func(j *wire.Job) time.Duration
+	// Copies, if set, tells of each report whether a copy of it reaches a node late.
+	Copies func() (late time.Duration, to Node, ok bool)
 
 	mu     sync.Mutex
 	jobs   map[string]*wire.Job
@@ -40,12 +42,16 @@
 	since  map[string]time.Time // when a cancellation was told
 	broken []string
 	starts int
+	calm   time.Time            // since when all troubles are over
+	heard  map[string]time.Time // when a question about a job was last answered
+	first  map[string]time.Time // when a job's first task started
 }
 
 // Init prepares the model.
 func (w *World) Init() {
 	w.jobs, w.on, w.done = map[string]*wire.Job{}, map[string]map[*Worker]*task{}, map[string]bool{}
 	w.told, w.asked, w.since = map[string]wire.Phase{}, map[string]bool{}, map[string]time.Time{}
+	w.heard, w.first = map[string]time.Time{}, map[string]time.Time{}
 }
 
 func (w *World) client() *http.Client { return transport.Client(w.Net, 1, 2, time.Second) }
@@ -101,6 +107,7 @@
 		w.breaks("invented", "%s is called %s", id, phase)
 		return
 	}
+	w.heard[id] = time.Now()
 	was := w.told[id]
 	if was.Final() && was != phase {
 		w.breaks("went_back", "%s was called %s, then %s", id, was, phase)
@@ -122,6 +129,38 @@
 	w.told[id] = phase
 }
 
+// Calm notes that all troubles are over.
+func (w *World) Calm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calm = time.Now()
+}
+
+// unanswered is how long, all troubles being over, no question about an accepted
+// job may go without an answer, however others fare.
+const unanswered = 75 * time.Second
+
+// Unanswered notes that a question about an accepted job was not answered.
+func (w *World) Unanswered(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := w.heard[id]
+	if last.Before(w.calm) {
+		last = w.calm
+	}
+	if !w.calm.IsZero() && time.Since(last) > unanswered {
+		w.breaks("forgotten", "no question about %s was answered for %v", id, time.Since(last))
+	}
+}
+
+// First tells when a job's first task started.
+func (w *World) First(id string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.first[id]
+	return at, ok
+}
+
 // Missing notes that an accepted job got an answer as if it were not known.
 func (w *World) Missing(id string, status int) {
 	w.mu.Lock()
@@ -159,6 +198,9 @@
 	w.sweep()
 	j := t.job
 	w.starts++
+	if _, ok := w.first[j.ID]; !ok {
+		w.first[j.ID] = time.Now()
+	}
 	w.expire()
 	if len(w.on[t.name]) > 0 {
 		w.breaks("ran_twice", "%s attempt %d starts on %s while it is on another machine", t.name, t.try, k.M.ID)
