Orders to workers are bounded; one that never left is sent again; room searched in order

Cause (read from the code, sums below): direct started a goroutine and a socket for each urgent machine without a bound, and seize took machines eight at a time, each silent one for report_s: 150 silent ones held up the rest for a minute, more than a lease. Now orders share a tenth of the sockets, silent machines half of that with back-off, and a crowd of users or workers leaves the controller's own sockets alone. An order for which no connection came about has certainly not left: it is repeated, and raises no token, each of which is a change of the state service.

Room: what a machine costs does not change while tasks are put there, so machines are sorted once, and only those with room when the pass began are looked at.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,6 +29,7 @@
 	store   *store.Client
 	cloud   *cloud.Client
 	workers *worker.Client
+	orders  *orders
 	cluster *cluster
 	peers   map[string]*mesh.Peer
 	parts   int
@@ -53,6 +54,7 @@
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
+		orders:  newOrders(s.Cluster.Limits.MaxSockets),
 	}
 	if c.parts == 0 {
 		c.parts = s.Cluster.Count
@@ -438,6 +440,7 @@
 	if gone {
 		delete(c.addrs, id)
 		delete(c.bounces, id)
+		c.orders.forget(id)
 	}
 	c.mu.Unlock()
 	for _, o := range all {
--- /dev/null
+++ b/internal/controller/orders_test.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Machines that do not answer must cost the others nothing but half of the room, and
+// each is left alone for longer and longer; one that reports is tried at once.
+func TestSilentMachinesLeaveRoomForOrders(t *testing.T) {
+	q, now := newOrders(200), time.Unix(1000, 0) // room for 20
+	least, most := 3*time.Second, 10*time.Second
+	begun := func(prefix string) (out []string) {
+		for i := range 150 {
+			if id := fmt.Sprint(prefix, i); q.begin(id, now) {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	end := func(ids []string, executed bool) {
+		for _, id := range ids {
+			q.end(id, executed, now, least, most)
+		}
+	}
+	// The first time nobody knows that they are silent.
+	for tried := 0; tried < 150; {
+		ids := begun("silent-")
+		if tried += len(ids); len(ids) != min(20, 150-tried+len(ids)) {
+			t.Fatalf("%d orders under way", len(ids))
+		}
+		end(ids, false)
+	}
+	now = now.Add(least)
+	if n := len(begun("silent-")); n != 10 {
+		t.Errorf("%d orders to silent machines", n)
+	}
+	if n := len(begun("there-")); n != 10 {
+		t.Errorf("%d orders to machines that answer", n)
+	}
+	q = newOrders(200)
+	waits := []time.Duration{3, 6, 10, 10}
+	for _, w := range waits {
+		if !q.begin("m", now) {
+			t.Fatal("not tried again")
+		}
+		q.end("m", false, now, least, most)
+		if now = now.Add(w*time.Second - 1); q.begin("m", now) {
+			t.Fatalf("tried again before %d s", w)
+		}
+		now = now.Add(1)
+	}
+	q.begin("m", now)
+	q.end("m", false, now, least, most)
+	q.heard("m")
+	if !q.begin("m", now) {
+		t.Error("a machine that reports was not tried")
+	}
+	q.forget("m")
+	q.end("m", false, now, least, most)
+	if len(q.rest)+len(q.under)+q.slow != 0 {
+		t.Errorf("%d, %d, %d left of a machine that is gone", len(q.rest), len(q.under), q.slow)
+	}
+}
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -147,83 +147,6 @@
 	return rev, nil
 }
 
-// seize raises the token of every machine at once, rather than at its next report,
-// and goes on until all have shown it: workers that report to a former owner, which is
-// cut off and does not know, hear of this one by no other way.
-func (o *owned) seize() {
-	listed := false
-	for o.ctx.Err() == nil {
-		o.mu.Lock()
-		ids := o.p.Unheard()
-		o.mu.Unlock()
-		if len(ids) == 0 {
-			return
-		}
-		if !listed {
-			list, err := o.c.cloud.List(o.ctx)
-			for _, m := range list {
-				o.c.learn(m.ID, m.Addr)
-			}
-			listed = err == nil
-		}
-		var wg sync.WaitGroup
-		sem := make(chan struct{}, 8)
-		for _, id := range ids {
-			addr := o.c.addr(id)
-			if addr == "" {
-				continue
-			}
-			sem <- struct{}{}
-			wg.Go(func() {
-				o.seizeOne(id, addr)
-				<-sem
-			})
-		}
-		wg.Wait()
-		transport.Pause(o.ctx, tuning.Seconds(o.c.s.Cluster.Workers.ReportS))
-	}
-}
-
-// seizeOne raises one machine's token, and takes the answer in as a report.
-func (o *owned) seizeOne(id, addr string) {
-	o.mu.Lock()
-	ord, ok := o.p.Seizure(id)
-	o.mu.Unlock()
-	if !ok {
-		return
-	}
-	r, _, err := o.c.workers.Order(o.ctx, addr, ord)
-	if err != nil {
-		slog.Debug("machine not seized yet", "machine", id, "err", err)
-		return
-	}
-	o.mu.Lock()
-	o.p.Heard(r, time.Now())
-	o.mu.Unlock()
-	o.poke()
-}
-
-// order sends a machine its starts and stops.
-func (o *owned) order(id, addr string) {
-	o.mu.Lock()
-	ord, ok := o.p.Orders(id)
-	o.mu.Unlock()
-	if !ok {
-		return
-	}
-	r, executed, err := o.c.workers.Order(o.ctx, addr, ord)
-	if err != nil {
-		slog.Debug("order unanswered", "machine", id, "err", err)
-	}
-	o.mu.Lock()
-	o.p.Ordered(ord, id, executed, err == nil)
-	if err == nil {
-		o.p.Heard(r, time.Now())
-	}
-	o.mu.Unlock()
-	o.poke()
-}
-
 // followJobs learns of submissions and cancellations.
 func (o *owned) followJobs(rev uint64) {
 	o.watchJobs(rev)
@@ -314,21 +237,6 @@
 	o.direct()
 }
 
-// direct sends starts and stops without waiting for the next report.
-func (o *owned) direct() {
-	if o.c.store.SinceContact() >= tuning.Seconds(o.c.t.FreshS) {
-		return
-	}
-	o.mu.Lock()
-	ids := o.p.Urgent()
-	o.mu.Unlock()
-	for _, id := range ids {
-		if addr := o.c.addr(id); addr != "" {
-			go o.order(id, addr)
-		}
-	}
-}
-
 // commit sends a batch; false: wait before the next one.
 func (o *owned) commit(b *core.Batch) bool {
 	rev, err := o.c.store.Commit(o.ctx, b.Txn)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	l = netutil.LimitListener(l, max(c.s.Cluster.Limits.MaxSockets-tuning.SpareSockets, 16))
+	l = netutil.LimitListener(l, max(c.s.Cluster.Limits.MaxSockets-tuning.OwnSockets-tuning.IdleOrders-c.orders.most, 16))
 	srv := &http.Server{
 		Handler:           api.Handler(c, c.t.RetryAfterS, tuning.Seconds(c.t.UserWaitS)),
 		ReadHeaderTimeout: tuning.ReadTimeout,
@@ -379,6 +379,7 @@
 		}
 		return reply, false
 	}
+	c.orders.heard(r.Machine)
 	o.poke()
 	return reply, true
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -181,7 +181,7 @@
 	if got := ops(b.report("m-1")); len(got) != 0 {
 		t.Fatalf("commands while an order is under way: %v", got)
 	}
-	b.Ordered(o, "m-1", false, false)
+	b.Ordered(o, "m-1", OrderUnknown)
 	b.report("m-1")
 	if len(b.machines["m-1"].places) != 1 || len(b.Doubtful()) != 1 {
 		t.Fatal("the placement was given up although its start may still come")
@@ -196,6 +196,34 @@
 	}
 }
 
+// An order that never left is sent again, stops included, and raises no token: each
+// would be a change of the state service, for every machine of a zone that is cut off.
+func TestOrderThatNeverLeftIsSentAgain(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 1, 1))
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	b.report("m-1")
+	b.add(array("req-2", 1, 1))
+	b.Schedule(b.now)
+	b.commit()
+	b.Cancel("req-1", b.now)
+	first, _ := b.Orders("m-1")
+	if len(first.Commands) != 2 || len(b.Urgent()) != 0 {
+		t.Fatalf("orders %v, urgent %v", first.Commands, b.Urgent())
+	}
+	b.Ordered(first, "m-1", OrderDropped)
+	if len(b.Doubtful()) != 0 || len(b.Urgent()) != 1 {
+		t.Fatalf("doubtful %v, urgent %v", b.Doubtful(), b.Urgent())
+	}
+	again, _ := b.Orders("m-1")
+	if diff := cmp.Diff(ops(first.Commands), ops(again.Commands)); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // After a takeover time alone frees nothing; after a word under the new token
 // the lease does.
 func TestTakeoverFreesNothingByTime(t *testing.T) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +24,12 @@
 func (p *Part) Schedule(now time.Time) {
 	p.now = now
 	p.Sweep(now)
+	p.roomy = p.roomy[:0]
+	for _, id := range p.order {
+		if m := p.machines[id]; m.usable() && m.free().CPUs > eps {
+			p.roomy = append(p.roomy, m)
+		}
+	}
 	queues := p.queues(now)
 	for len(queues) > 0 {
 		best := 0
@@ -194,7 +202,7 @@
 		}
 		n = left
 	}
-	where := p.fit(j, n, now, (*Machine).free)
+	where := p.fit(j, n, now, p.roomy, (*Machine).free)
 	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
 		j.noRoom = p.room
 		p.makeRoom(j, min(n, 2*slice), now)
@@ -278,15 +286,14 @@
 	return false
 }
 
-// fit finds machines for up to n tasks of a job, for a gang for all n or none.
-// free tells what room of a machine counts.
-func (p *Part) fit(j *Job, n int, now time.Time, free func(*Machine) Room) []*Machine {
+// fit finds machines for up to n tasks of a job among those given, for a gang for all
+// n or none. free tells what room of a machine counts.
+func (p *Part) fit(j *Job, n int, now time.Time, among []*Machine, free func(*Machine) Room) []*Machine {
 	r := need(j.Job)
 	zones := zoneCount(j)
 	var cands []*Machine
-	for _, id := range p.order {
-		m := p.machines[id]
-		if !m.usable() || !allowed(j.Job, m) || j.failedOn[id] {
+	for _, m := range among {
+		if !m.usable() || !allowed(j.Job, m) || j.failedOn[m.ID] {
 			continue
 		}
 		if m.reserved != "" && m.reserved != j.ID && now.Before(m.resUntil) {
@@ -323,7 +330,7 @@
 		}
 		c := 0.0
 		for _, m := range got {
-			c += p.cost(j, m, free(m))
+			c += p.cost(j, m)
 		}
 		if len(got) > len(best) || (len(got) == len(best) && c < bestCost) {
 			best, bestCost = got, c
@@ -356,33 +363,35 @@
 
 // pick takes the cheapest machines one after the other.
 func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
-	r := need(j.Job)
-	left := make([]Room, len(cands))
+	// What a machine costs does not change while tasks are put there, so the machines
+	// are taken in one order, each until it is full.
+	type choice struct {
+		m    *Machine
+		cost float64
+	}
+	choices := make([]choice, len(cands))
 	for i, m := range cands {
-		left[i] = free(m)
+		choices[i] = choice{m, p.cost(j, m)}
 	}
+	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	r := need(j.Job)
 	perZone := map[string]int{}
 	for z, c := range zones {
 		perZone[z] = c
 	}
 	limit := (j.Tasks + 1) / 2
 	var out []*Machine
-	for len(out) < n {
-		best, bestCost := -1, 0.0
-		for i, m := range cands {
-			if !left[i].holds(r) || !spare(j, m, left[i]) || (j.Spread && perZone[m.Rec.Zone] >= limit) {
-				continue
-			}
-			if c := p.cost(j, m, left[i]); best < 0 || c < bestCost {
-				best, bestCost = i, c
+	for _, c := range choices {
+		for left := free(c.m); len(out) < n && left.holds(r) && spare(j, c.m, left); left = left.sub(r) {
+			if j.Spread && perZone[c.m.Rec.Zone] >= limit {
+				break
 			}
+			perZone[c.m.Rec.Zone]++
+			out = append(out, c.m)
 		}
-		if best < 0 {
+		if len(out) == n {
 			break
 		}
-		left[best] = left[best].sub(r)
-		perZone[cands[best].Rec.Zone]++
-		out = append(out, cands[best])
 	}
 	return out
 }
@@ -400,9 +409,9 @@
 // hold on to the machine while it fetches.
 func (p *Part) leastFetch(j *Job) float64 {
 	least := -1.0
-	for _, id := range p.order {
-		m := p.machines[id]
-		if !m.usable() || !m.free().holds(need(j.Job)) || !allowed(j.Job, m) {
+	r := need(j.Job)
+	for _, m := range p.roomy {
+		if !m.free().holds(r) || !allowed(j.Job, m) {
 			continue
 		}
 		if f := p.fetch(j, m); least < 0 || f < least {
@@ -414,7 +423,7 @@
 
 // cost orders machines for a task, in seconds: the image's fetch, then the
 // scarcer machine, then the emptier one, so that whole machines fall empty.
-func (p *Part) cost(j *Job, m *Machine, free Room) float64 {
+func (p *Part) cost(j *Job, m *Machine) float64 {
 	c := p.fetch(j, m)
 	if j.GPUs == 0 && m.typ.GPUs > 0 {
 		c += 120
@@ -426,6 +435,15 @@
 	return c
 }
 
+// all lists the part's machines in the order of their names.
+func (p *Part) all() []*Machine {
+	out := make([]*Machine, len(p.order))
+	for i, id := range p.order {
+		out[i] = p.machines[id]
+	}
+	return out
+}
+
 // makeRoom stops work of lower rank, or what another team runs beyond its
 // guarantee, for a job that finds no room.
 func (p *Part) makeRoom(j *Job, n int, now time.Time) {
@@ -445,7 +463,7 @@
 		}
 		return out
 	}
-	where := p.fit(j, n, now, func(m *Machine) Room {
+	where := p.fit(j, n, now, p.all(), func(m *Machine) Room {
 		f := m.free()
 		for _, pl := range m.places {
 			if p.yields(pl, j) {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -439,30 +439,43 @@
 	return o, len(o.Commands) > 0
 }
 
-// Ordered notes what became of an order with starts. Without an answer it may
+// OrderOutcome is what became of an order.
+type OrderOutcome int
+
+// The outcomes of an order.
+const (
+	OrderExecuted OrderOutcome = iota
+	OrderDropped               // refused by the worker, or never left
+	OrderUnknown
+)
+
+// Ordered notes what became of an order. Without an answer its starts may
 // still be carried out as long as token and session match, so the token has to
 // be raised before anything is concluded from the tasks' absence.
-func (p *Part) Ordered(o wire.Orders, id string, executed, answered bool) {
+func (p *Part) Ordered(o wire.Orders, id string, outcome OrderOutcome) {
 	m := p.machines[id]
-	if m == nil || !m.ordering {
+	if m == nil {
 		return
 	}
-	m.ordering = false
 	for _, c := range o.Commands {
 		pl := m.places[attempt{c.Task, c.Attempt}]
-		if c.Op != wire.Start || pl == nil {
-			continue
-		}
 		switch {
-		case executed:
+		case pl == nil:
+		case c.Op == wire.Stop && outcome == OrderDropped && pl.kill != nil:
+			pl.kill.told = false
+		case c.Op != wire.Start || !m.ordering:
+		case outcome == OrderExecuted:
 			pl.seen = true
-		case answered:
+		case outcome == OrderDropped:
 			pl.sent, pl.direct = false, 0
 		default:
 			m.doubt, m.doubtToken = true, m.token
 		}
 	}
-	p.room++
+	if m.ordering {
+		m.ordering = false
+		p.room++
+	}
 }
 
 // Doubtful lists machines whose records must be rewritten to raise their tokens.
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -10,16 +10,23 @@
 	"ambersill/internal/wire"
 )
 
-// BenchmarkPass is a pass over a part of 350 full machines and 60 waiting jobs, with
-// a twentieth of the tasks ending each time.
+// BenchmarkPass is a pass over a part of full machines with jobs of 220 tasks waiting,
+// a twentieth of the tasks ending each time: a grown fleet, and one half as large again
+// as the largest served.
 func BenchmarkPass(b *testing.B) {
+	for _, c := range []struct{ machines, jobs int }{{350, 60}, {1100, 300}} {
+		b.Run(fmt.Sprint(c.machines, " machines"), func(b *testing.B) { benchmarkPass(b, c.machines, c.jobs) })
+	}
+}
+
+func benchmarkPass(b *testing.B, machines, jobs int) {
 	d := newBed()
-	for i := range 350 {
+	for i := range machines {
 		d.machine(fmt.Sprintf("m-%06d", i), "cpu", "a", false)
 	}
 	next := 0
 	for i := 0; b.Loop(); i++ {
-		for len(d.jobs) < 60 {
+		for len(d.jobs) < jobs {
 			j := array(fmt.Sprintf("req-%06d", next), 220, 1)
 			j.Image, j.ImageGB = fmt.Sprint("img-", next%18), 1
 			d.add(j)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -257,6 +257,7 @@
 	// ending are jobs that are over but whose records still stand.
 	ending []*Job
 	order  []string        // machine names, sorted
+	roomy  []*Machine      // those that could take work when the pass began
 	over   map[string]bool // jobs that ended here, so that a late word of their submission does not revive them
 	// The journal: the last number given out, the stamps of its keys, the chunks
 	// with changes to record and those whose records lack some of it.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -143,12 +143,23 @@
 	MinJournalBytes = 1 << 10
 	// TxnBytes: bytes that one transaction may take; the service allows 64 KiB.
 	TxnBytes = 48 << 10
-	// SpareSockets: sockets left for everything but users and workers.
-	SpareSockets = 100
+	// OrderShare: share of the sockets for orders under way straight to workers. It is
+	// enough for a zone's machines to fall silent at once, each of which holds one
+	// until its order times out.
+	OrderShare = 0.1
+	// IdleOrders: connections to workers that are kept open between orders.
+	IdleOrders = 64
+	// OwnSockets: sockets for the state service, the cloud and the other controllers,
+	// so that no crowd of users or workers keeps a controller from renewing its hold.
+	OwnSockets = 100
+	// SeizeTimeout: for an order that only raises a token, and for connecting to a
+	// worker at all; one that is there answers in milliseconds.
+	SeizeTimeout = time.Second
 	// ReadTimeout: for a request's body; slow senders must not hold sockets.
 	ReadTimeout = 10 * time.Second
-	// IdleTimeout: for a connection without requests.
-	IdleTimeout = 2 * time.Minute
+	// IdleTimeout: for a connection without requests. Workers and users that are there
+	// send some every few seconds; those that hang must not hold sockets.
+	IdleTimeout = 45 * time.Second
 )
 
 // Seconds turns a number of seconds into a duration.
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -3,14 +3,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"ambersill/internal/transport"
+	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
 
+// ErrNotSent: no connection came about, so the order has certainly not left.
+var ErrNotSent = errors.New("worker: not reached")
+
 // Client talks to workers.
 type Client struct {
 	http    *http.Client
@@ -19,19 +26,21 @@
 
 // New makes a client that waits for an answer for the given time at most.
 func New(n transport.Net, timeout time.Duration) *Client {
-	return &Client{timeout: timeout, http: transport.Client(n, 1, maxIdle, timeout)}
+	return &Client{timeout: timeout, http: transport.Client(n, 1, tuning.IdleOrders, min(timeout, tuning.SeizeTimeout))}
 }
 
-// maxIdle is how many connections to workers are kept open; each is a socket.
-const maxIdle = 64
-
 // Order sends orders. executed is true only if the worker carried them out; on
-// an error they may still be, for as long as token and session match.
+// an error but ErrNotSent they may still be, for as long as token and session match.
 func (c *Client) Order(ctx context.Context, addr string, o wire.Orders) (r *wire.Report, executed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	resp, err := transport.Send(ctx, c.http, http.MethodPost, "http://"+addr+"/orders", o)
 	if err != nil {
+		if !connected.Load() {
+			return nil, false, fmt.Errorf("%w: %v", ErrNotSent, err)
+		}
 		return nil, false, err
 	}
 	defer resp.Body.Close()
