A leader acts only while its hold is sure; silent machines get a boot's time; relays first

Calls to the cloud have no fence, so they now need the hold under which the lead was claimed, renewed within HoldS. Workers whose nodes lay behind two cuts took more than a lease until the second redirection, which was what a relay waited for: the first report is relayed now, the second redirected. Silent machines went back the moment their lease had run out, though most were back before another could boot: they are left alone for one boot; the cloud's list tells of dead ones.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,15 +33,18 @@
 	cluster *cluster
 	peers   map[string]*mesh.Peer
 	parts   int
+	// relaying holds a place for each report that is being relayed.
+	relaying chan struct{}
 
 	mu       sync.Mutex
 	types    []wire.MachineType
 	owned    map[int]*owned
 	hold     uint64
+	holdTill time.Time // until then the hold lasts for sure, whatever becomes of contact
 	leading  bool
 	finals   map[string]core.JobRecord
 	addrs    map[string]string // where machines can be reached, by their reports or the list
-	bounces  map[string]bounce // workers sent to their owners, by machine
+	bounces  map[string]bounce // workers that report here but belong to others, by machine
 	restPart map[int]time.Time // parts not to be claimed again at once
 }
 
@@ -54,7 +57,7 @@
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
-		orders:  newOrders(s.Cluster.Limits.MaxSockets),
+		orders:  newOrders(s.Cluster.Limits.MaxSockets), relaying: make(chan struct{}, maxRelays),
 	}
 	if c.parts == 0 {
 		c.parts = s.Cluster.Count
@@ -193,7 +196,7 @@
 // keepMembership keeps the node's hold, and claims parts that nobody owns.
 func (c *Controller) keepMembership(ctx context.Context) error {
 	every := tuning.Seconds(c.t.HoldS / 4)
-	var extended time.Time
+	var extended time.Time // when the last renewal that was answered was sent
 	away := false
 	for ctx.Err() == nil {
 		if d := c.store.SinceContact(); away != (d > tuning.Seconds(c.t.FreshS)) {
@@ -201,27 +204,30 @@
 			slog.Info("contact to the state service", "lost", away, "since_s", d.Seconds())
 		}
 		if c.hold == 0 {
+			asked := time.Now()
 			h, err := c.store.Grant(ctx, tuning.Seconds(c.t.HoldS))
 			if err != nil {
 				transport.Pause(ctx, 300*time.Millisecond)
 				continue
 			}
-			c.setHold(h)
-			extended = time.Now()
+			extended = asked
+			c.setHold(h, asked)
 			if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{{Put: nodePrefix + c.s.Node, Value: core.OwnerRecord{Node: c.s.Node}, Hold: h}}}); err != nil {
 				slog.Debug("node not entered", "err", err)
 			}
 		}
 		if time.Since(extended) >= every {
+			asked := time.Now()
 			err := c.store.Extend(ctx, c.hold)
 			switch {
 			case err == nil:
-				extended = time.Now()
+				extended = asked
+				c.setHold(c.hold, asked)
 			case errors.Is(err, store.ErrNotFound):
 				// The hold ran out: whatever was attached to it is gone, and others
 				// may own it by now.
 				slog.Info("hold lost", "hold", c.hold)
-				c.setHold(0)
+				c.setHold(0, asked)
 				c.loseAll()
 				continue
 			default:
@@ -243,12 +249,21 @@
 	return nil
 }
 
-func (c *Controller) setHold(h uint64) {
+// setHold notes the hold, and that it was granted or renewed at the earliest when that
+// was asked for.
+func (c *Controller) setHold(h uint64, asked time.Time) {
 	c.mu.Lock()
-	c.hold = h
+	c.hold, c.holdTill = h, asked.Add(tuning.Seconds(c.t.HoldS*(1-c.t.Drift)))
 	c.mu.Unlock()
 }
 
+// holds tells whether nothing under the given hold can be another's by now.
+func (c *Controller) holds(hold uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hold == hold && time.Now().Before(c.holdTill)
+}
+
 func (c *Controller) currentHold() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -32,7 +32,7 @@
 			if rev, err := c.claimKey(ctx, leadKey, stamp, hold); err == nil {
 				c.cluster.apply(leadKey, must(wire.Marshal(core.OwnerRecord{Node: c.s.Node})), rev, false)
 				c.setLeading(true)
-				newLeader(c, rev).run(ctx)
+				newLeader(c, rev, hold).run(ctx)
 				c.setLeading(false)
 			} else {
 				slog.Debug("lead not claimed", "err", err)
@@ -71,6 +71,7 @@
 type leader struct {
 	c     *Controller
 	stamp uint64
+	hold  uint64 // that the lead was claimed under
 	fleet *core.Fleet
 	next  int // number of the next rental of this term
 
@@ -91,8 +92,8 @@
 	wait  float64
 }
 
-func newLeader(c *Controller, stamp uint64) *leader {
-	return &leader{c: c, stamp: stamp, fleet: core.NewFleet(&c.t), listed: map[string]wire.CloudMachine{}, absent: map[string]int{},
+func newLeader(c *Controller, stamp, hold uint64) *leader {
+	return &leader{c: c, stamp: stamp, hold: hold, fleet: core.NewFleet(&c.t), listed: map[string]wire.CloudMachine{}, absent: map[string]int{},
 		seen: map[string]bool{}, gone: map[string]time.Time{}, refused: map[core.Kind]refusal{}, sums: map[int]core.Summary{}, tried: map[string]time.Time{}, own: map[string]bool{}}
 }
 
@@ -100,9 +101,14 @@
 func (l *leader) leads() bool {
 	l.c.cluster.mu.Lock()
 	defer l.c.cluster.mu.Unlock()
-	return l.c.cluster.lead.stamp == l.stamp && l.c.currentHold() != 0
+	return l.c.cluster.lead.stamp == l.stamp && l.c.currentHold() == l.hold
 }
 
+// sure tells whether nobody else can lead by now. Calls to the cloud have no fence: a
+// leader that was cut off, and whose copy has not caught up yet, would give back what
+// its successor has rented meanwhile.
+func (l *leader) sure() bool { return l.leads() && l.c.holds(l.hold) }
+
 // caughtUp tells whether the copy holds all that was written before this term.
 func (l *leader) caughtUp() bool {
 	l.c.cluster.mu.Lock()
@@ -121,7 +127,7 @@
 	}
 	var lastList, lastSum time.Time
 	for ctx.Err() == nil && l.leads() {
-		if l.c.inTouch() != nil {
+		if l.c.inTouch() != nil || !l.sure() {
 			// Another may lead by now: calls to the cloud would take its share of them,
 			// and give machines back that it counts on.
 			transport.Pause(ctx, 250*time.Millisecond)
@@ -353,6 +359,9 @@
 			}
 			continue
 		}
+		if !l.sure() {
+			return
+		}
 		l.tried[name] = time.Now()
 		ids, err := l.c.cloud.Rent(ctx, wire.RentRequest{Request: name, Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot, Count: h.rec.Count})
 		conds := []wire.Cond{{Key: key, Stamp: h.stamp}}
@@ -454,6 +463,9 @@
 // giveUp returns machines; once that is answered, they and all on them are
 // gone, and only then do their records go.
 func (l *leader) giveUp(ctx context.Context, ids []string, why map[string][]string) {
+	if !l.sure() {
+		return
+	}
 	if err := l.c.cloud.Return(ctx, ids); err != nil {
 		slog.Debug("machines not returned", "ids", ids, "err", err)
 		return
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -302,11 +302,11 @@
 	if p == nil {
 		return wire.ReportReply{}, "", false
 	}
-	if c.comesBack(r.Machine, n) {
-		var a mesh.Relayed
-		if err := p.Call("Mesh.Report", *r, &a, relayLimit); err == nil && a.OK {
-			return a.Reply, "", true
+	if c.relays(r.Machine, n, time.Now()) {
+		if reply, ok := c.relay(p, r); ok {
+			return reply, "", true
 		}
+		c.redirected(r.Machine)
 	}
 	return wire.ReportReply{}, n, false
 }
@@ -317,35 +317,67 @@
 	// relayFor is how long reports are relayed before the worker is sent to its
 	// owner again, to see whether the way is open.
 	relayFor = 30 * time.Second
+	// maxRelays bounds the reports that are relayed at a time; in a storm the rest is
+	// sent to its owner as if there were no relay.
+	maxRelays = 32
+	// relayRest is how long nothing is relayed to a node that did not answer.
+	relayRest = 2 * time.Second
 )
 
-// bounce is a worker's last redirection, and since when it is relayed for.
+// bounce is where a worker stands that reports here, though another node owns its part.
 type bounce struct {
-	node    string
-	at      time.Time
-	relayed time.Time
+	node  string    // its owner
+	at    time.Time // its last report here
+	until time.Time // its reports are relayed until then
+	sent  bool      // it was sent to its owner then
 }
 
-// comesBack tells whether a worker was sent to that node shortly before: then it
-// cannot reach it, as when a cut lies between the two but not between the
-// nodes. Without a relay its lease would run out, and its work be lost.
-func (c *Controller) comesBack(machine, node string) bool {
-	now := time.Now()
+// relays tells whether to pass a report on to the owner rather than to send the worker
+// there. The first one is passed on: with some nodes behind cuts a worker may have lost
+// most of its lease on the way here, and the way to its owner may be cut as well. The
+// next ones send it there, and if it is back within a lease it cannot reach its owner,
+// as when a cut lies between the two but not between the nodes.
+func (c *Controller) relays(machine, node string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b, ok := c.bounces[machine]
-	if ok && b.node == node && now.Sub(b.at) < relayFor/2 {
-		if b.relayed.IsZero() {
-			b.relayed = now
-		}
-		if now.Sub(b.relayed) < relayFor {
-			b.at = now
-			c.bounces[machine] = b
-			return true
-		}
+	b := c.bounces[machine]
+	relay := true
+	switch {
+	case b.node != node || now.Sub(b.at) > tuning.Seconds(c.s.Cluster.Workers.LeaseS):
+		b = bounce{node: node, until: now}
+	case b.sent:
+		b.sent, b.until = false, now.Add(relayFor)
+	case !now.Before(b.until):
+		b.sent, relay = true, false
+	}
+	b.at = now
+	c.bounces[machine] = b
+	return relay
+}
+
+// redirected notes that a worker was sent to its owner after all.
+func (c *Controller) redirected(machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.bounces[machine]
+	b.sent = true
+	c.bounces[machine] = b
+}
+
+// relay passes a report on.
+func (c *Controller) relay(p *mesh.Peer, r *wire.Report) (wire.ReportReply, bool) {
+	if p.Failing(relayRest) {
+		return wire.ReportReply{}, false
+	}
+	select {
+	case c.relaying <- struct{}{}:
+		defer func() { <-c.relaying }()
+	default:
+		return wire.ReportReply{}, false
 	}
-	c.bounces[machine] = bounce{node: node, at: now}
-	return false
+	var a mesh.Relayed
+	err := p.Call("Mesh.Report", *r, &a, relayLimit)
+	return a.Reply, err == nil && a.OK
 }
 
 // Relay answers a report as the owner of its machine's part.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -224,6 +224,32 @@
 	}
 }
 
+// A machine that falls silent is left alone for as long as another would take to boot:
+// it may hang or be cut off and be back before. One that fails all its tasks is not.
+func TestSilentMachineIsGivenTimeToComeBack(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.machine("m-2", "cpu", "a", false)
+	b.machines["m-2"].sick = true
+	bad := func() (out []string) {
+		for _, id := range b.order {
+			if b.Summary(b.now).Machines[id]&NoteBad != 0 {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	b.now = b.now.Add(16 * time.Second) // beyond its lease
+	b.Schedule(b.now)
+	if diff := cmp.Diff([]string{"m-2"}, bad()); diff != "" || !b.machines["m-1"].silent {
+		t.Fatal("the silent machine goes back at once: ", diff)
+	}
+	b.now = b.now.Add(31 * time.Second) // and a boot of 30 s
+	if diff := cmp.Diff([]string{"m-1", "m-2"}, bad()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // After a takeover time alone frees nothing; after a word under the new token
 // the lease does.
 func TestTakeoverFreesNothingByTime(t *testing.T) {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -331,7 +331,7 @@
 		if !m.spoken || m.silent || now.Sub(m.answered) <= lease {
 			continue
 		}
-		m.silent = true
+		m.silent, m.lost = true, now
 		p.room++
 		for _, k := range sortedAttempts(m.places) {
 			if pl := m.places[k]; pl != nil {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -192,6 +192,7 @@
 	doubt      bool
 	doubtToken uint64
 	silent     bool
+	lost       time.Time // when its lease had surely run out, if silent
 	sick       bool
 	places     map[attempt]*Placement
 	clearing   map[attempt]clearance
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -35,7 +35,9 @@
 		} else if m.usable() && !(m.reserved != "" && now.Before(m.resUntil)) {
 			note |= NoteEmpty
 		}
-		if m.sick || m.silent {
+		// A silent machine may hang or be cut off, and be back with its images sooner than
+		// another could boot in its place; if it is gone, the cloud's list tells.
+		if m.sick || (m.silent && now.Sub(m.lost) > tuning.Seconds(m.typ.BootS)) {
 			note |= NoteBad
 		}
 		w := p.s.Cluster.Workers
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -115,12 +115,32 @@
 	Net transport.Net
 	mu  sync.Mutex
 	c   *rpc.Client
+	// failed is when a call last failed, with none answered since.
+	failed time.Time
 }
 
 var errTimeout = errors.New("mesh: no answer in time")
 
+// Failing tells whether a call has failed within the given time, with none answered since.
+func (p *Peer) Failing(within time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.failed.IsZero() && time.Since(p.failed) < within
+}
+
 // Call asks the peer; a connection that fails is dropped, and made anew next time.
 func (p *Peer) Call(method string, args, reply any, limit time.Duration) error {
+	err := p.call(method, args, reply, limit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed = time.Time{}
+	if err != nil {
+		p.failed = time.Now()
+	}
+	return err
+}
+
+func (p *Peer) call(method string, args, reply any, limit time.Duration) error {
 	p.mu.Lock()
 	c := p.c
 	p.mu.Unlock()
