--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,7 +86,7 @@
 			}
 		}()
 	}
-	slog.Info("starting", "node", c.s.Node, "parts", c.parts)
+	slog.Info("starting", "node", c.s.Node, "parts", c.parts, "public_sockets", c.publicSockets(), "orders", c.orders.most)
 	duty("users and workers", c.serve)
 	duty("mesh", func(ctx context.Context) error { return mesh.Serve(ctx, c.net, c.s.MeshAddr, c) })
 	duty("cluster watch", func(ctx context.Context) error {
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"ambersill/internal/tuning"
 )
 
 // Machines that do not answer must cost the others nothing but half of the room, and
@@ -63,3 +65,15 @@
 		t.Errorf("%d, %d, %d left of a machine that is gone", len(q.rest), len(q.under), q.slow)
 	}
 }
+
+// All uses of sockets together stay within the limit, down to limits with which hardly
+// anybody can be served.
+func TestSocketsAddUp(t *testing.T) {
+	c := aloneController(t)
+	for n := 250; n < 5000; n += 50 {
+		c.s.Cluster.Limits.MaxSockets, c.orders = n, newOrders(n)
+		if sum := c.publicSockets() + tuning.OwnSockets + tuning.IdleOrders + c.orders.most; sum > n {
+			t.Errorf("%d sockets of %d", sum, n)
+		}
+	}
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	l = netutil.LimitListener(l, max(c.s.Cluster.Limits.MaxSockets-tuning.OwnSockets-tuning.IdleOrders-c.orders.most, 16))
+	l = netutil.LimitListener(l, c.publicSockets())
 	srv := &http.Server{
 		Handler:           api.Handler(c, c.t.RetryAfterS, tuning.Seconds(c.t.UserWaitS)),
 		ReadHeaderTimeout: tuning.ReadTimeout,
@@ -45,6 +45,13 @@
 	return nil
 }
 
+// publicSockets is how many connections users and workers may hold together: what the
+// controller does not need for itself and for orders to workers.
+func (c *Controller) publicSockets() int {
+	const least = 16 // enough for health checks, and to say no
+	return max(c.s.Cluster.Limits.MaxSockets-tuning.OwnSockets-tuning.IdleOrders-c.orders.most, least)
+}
+
 // Healthy tells whether this node can take requests. In an outage that all
 // nodes share it stays healthy, since no other node would do better.
 func (c *Controller) Healthy() bool {
