--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"ambersill/internal/core"
+	"ambersill/internal/store"
 	"ambersill/internal/wire"
 )
 
@@ -120,6 +122,39 @@
 	})
 }
 
+// Finished jobs, which are kept for ever, cost a takeover nothing.
+func TestTakeoverReadsNoFinishedJobs(t *testing.T) {
+	const finished = 10000
+	fleet(t, 11, 4, func(d *day) {
+		st := store.New(store.Options{Net: d.fabric.Host("history"), Addr: "10.2.0.1:1", Timeout: 2 * time.Second, ReadRate: 1e6, WriteRate: 1e6})
+		for n := 0; n < finished; {
+			var txn wire.Txn
+			for range 20 {
+				id := fmt.Sprintf("req-9%06d", n)
+				txn.Then = append(txn.Then, wire.Write{Put: core.JobKey(id), Value: core.JobRecord{Job: &wire.Job{ID: id, Tasks: 1}, Phase: wire.Done}})
+				n++
+			}
+			if _, err := st.Commit(d.ctx, txn); err != nil {
+				d.t.Fatal(err)
+			}
+		}
+		d.submit(largeArray(1, 20, 1, 60), 0)
+		time.Sleep(40 * time.Second)
+		for i := range d.nodes {
+			d.crash(i)
+		}
+		before := d.state.Listed()
+		for i := range d.nodes {
+			d.start(i)
+		}
+		time.Sleep(10 * time.Second)
+		if n := d.state.Listed() - before; n == 0 || n > finished/10 {
+			d.t.Errorf("%d items were read after a takeover with one job under way", n)
+		}
+		d.finish(10 * time.Minute)
+	})
+}
+
 // The model must see a version that frees what a silent machine runs before its lease
 // has run out, and one whose answers about a job stay away.
 func TestModelSeesBrokenRules(t *testing.T) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -62,6 +62,14 @@
 	log     []change
 	changed chan struct{}
 	down    bool
+	listed  int // items that listings have held
+}
+
+// Listed counts the items that listings have held so far.
+func (s *State) Listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
 }
 
 // NewState makes an empty state service.
@@ -224,6 +232,7 @@
 	if len(keys) > most {
 		keys, p.More = keys[:most], true
 	}
+	s.listed += len(keys)
 	for _, k := range keys {
 		e := s.items[k]
 		p.Items = append(p.Items, wire.Item{Key: k, Value: e.value, Stamp: e.stamp, Hold: e.hold})
