Machines that are rented or returned while a part is read are not missed

Cause: a new owner lists the machines, then four more prefixes, and drops what its watch tells meanwhile; the copy tells of a change once. With the lead and the part changing hands together, or a slow state service, a new machine stayed unknown to its part (its reports refused, yet counted as one to come), and one that was gone kept its tasks, its team's share and a cancelled job's mark until the next takeover.

Changes that come while the part is read wait and are applied after it. TestChangesWhileAPartIsRead was seen red without that, both ways.

--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -1,12 +1,17 @@
 package controller
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ambersill/internal/core"
 	"ambersill/internal/standin"
 	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
 )
 
 // aloneController is a controller on a network without anybody else.
@@ -70,3 +75,71 @@
 		t.Error("machines are not told apart")
 	}
 }
+
+// A group of machines that is written or removed while a part's records are read, as when
+// the lead and the part change hands together, must not be missed: the part once knew
+// nothing of a machine that was up, or kept the tasks of one that was gone, for good.
+func TestChangesWhileAPartIsRead(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gone %v", gone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				d := newDay(t, ctx, 1)
+				key := machinePrefix + "m-1"
+				g := core.GroupRecord{Machines: map[string]core.MachineRecord{"m-1": {Type: "small", Zone: "a"}}}
+				other := New(d.settings(1), d.tune, d.fabric.Host("node-1"))
+				write := func(w wire.Write) uint64 {
+					rev, err := other.store.Commit(ctx, wire.Txn{Then: []wire.Write{w}})
+					if err != nil {
+						t.Fatal(err)
+					}
+					return rev
+				}
+				var c *Controller
+				met := false
+				change := func() { // after the machines were listed, before all is read
+					met = true
+					if gone {
+						c.cluster.apply(key, nil, write(wire.Write{Delete: key}), true)
+					} else {
+						c.cluster.apply(key, must(wire.Marshal(g)), write(wire.Write{Put: key, Value: g}), false)
+					}
+				}
+				h := d.state.Handler()
+				d.serve("meddler", "10.2.0.9:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Query().Get("prefix") == core.ChunkPrefix(0) && !met {
+						change()
+					}
+					h.ServeHTTP(w, r)
+				}))
+				s := d.settings(0)
+				s.Outside.State = "10.2.0.9:1"
+				c = New(s, d.tune, d.fabric.Host("node-0"))
+				c.types = dayTypes
+				if gone {
+					rec := core.JobRecord{Job: work(1, 1, 1, 10), Phase: wire.Queued, At: 1}
+					chunk := core.FirstChunk(&rec)
+					chunk.Live = []core.LiveRecord{{Task: 0, Try: 1, Machine: "m-1", Session: 1}}
+					write(wire.Write{Put: core.JobKey(rec.Job.ID), Value: rec})
+					write(wire.Write{Put: core.ChunkKey(0, rec.Job.ID, 0), Value: chunk})
+					c.cluster.apply(key, must(wire.Marshal(g)), write(wire.Write{Put: key, Value: g}), false)
+				}
+				hold, err := c.store.Grant(ctx, 4*time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.setHold(hold, time.Now())
+				c.claim(ctx, 0, 0, true)
+				time.Sleep(3 * time.Second)
+				o := c.ownedPart(0)
+				o.mu.Lock()
+				if n := len(o.p.MachineIDs()); !met || n != len(c.cluster.machines) {
+					t.Errorf("met %v: the part has %d machines, the copy %d", met, n, len(c.cluster.machines))
+				}
+				o.mu.Unlock()
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -467,15 +467,7 @@
 	}
 	c.mu.Unlock()
 	for _, o := range all {
-		o.mu.Lock()
-		if o.p != nil {
-			if gone {
-				o.p.RemoveMachine(id, time.Now())
-			} else {
-				o.p.SetMachine(id, e.rec, e.stamp, time.Now())
-			}
-		}
-		o.mu.Unlock()
+		o.machineChanged(id, e, gone)
 		o.poke()
 	}
 }
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -25,16 +25,44 @@
 	cancel context.CancelFunc
 	kick   chan struct{}
 
-	mu   sync.Mutex
-	p    *core.Part        // nil until its records are read
-	news time.Time         // every cancellation confirmed before then is known to p
-	last map[string][]byte // summary's records as last written
-	told time.Time
+	mu sync.Mutex
+	p  *core.Part // nil until its records are read
+	// early are changes of machines that came while the records were read.
+	early map[string]earlyChange
+	news  time.Time         // every cancellation confirmed before then is known to p
+	last  map[string][]byte // summary's records as last written
+	told  time.Time
+}
+
+type earlyChange struct {
+	e    machineEntry
+	gone bool
+}
+
+// machineChanged takes in a change of a machine's record. One that comes while the part is
+// being read waits: the listing may be older, and the copy tells of it only once.
+func (o *owned) machineChanged(id string, e machineEntry, gone bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.p == nil {
+		o.early[id] = earlyChange{e, gone}
+		return
+	}
+	o.apply(id, e, gone)
+}
+
+// apply hands a change on to the part; o.mu must be held.
+func (o *owned) apply(id string, e machineEntry, gone bool) {
+	if gone {
+		o.p.RemoveMachine(id, time.Now())
+	} else {
+		o.p.SetMachine(id, e.rec, e.stamp, time.Now())
+	}
 }
 
 func (c *Controller) newOwned(ctx context.Context, index int, stamp uint64) *owned {
 	ctx, cancel := context.WithCancel(ctx)
-	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1), last: map[string][]byte{}}
+	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1), early: map[string]earlyChange{}, last: map[string][]byte{}}
 }
 
 func (o *owned) poke() {
@@ -142,6 +170,10 @@
 	p.Marked(o.marked(marks), now)
 	o.mu.Lock()
 	o.p, o.news = p, asked
+	for _, id := range sortedIDs(o.early) {
+		o.apply(id, o.early[id].e, o.early[id].gone)
+	}
+	o.early = nil
 	o.mu.Unlock()
 	slog.Info("part read", "part", o.index, "jobs", p.Jobs(), "machines", len(p.MachineIDs()))
 	o.poke()
