--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -499,8 +499,11 @@
 	in := core.FleetInput{Types: types, Summaries: l.sums, Refused: map[core.Kind]bool{}}
 	for _, id := range ids {
 		r := recs[id].rec
+		// One that is up, but was never heard since its part's owner changed, is cut off or
+		// hangs: as a machine that is still to come it would keep others from being rented.
+		unheard := notes[id]&core.NoteUnheard != 0 && l.listed[id].State == wire.Up
 		in.Machines = append(in.Machines, core.FleetMachine{ID: id, Kind: core.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot},
-			Part: r.Part, Wish: r.Wish, Empty: notes[id]&core.NoteEmpty != 0, Up: notes[id]&core.NoteUp != 0})
+			Part: r.Part, Wish: r.Wish, Empty: notes[id]&core.NoteEmpty != 0, Up: notes[id]&core.NoteUp != 0 || unheard})
 	}
 	l.c.cluster.mu.Lock()
 	for _, h := range l.c.cluster.hires {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -788,3 +788,101 @@
 		}
 	}
 }
+
+// A machine that reaches no controller, while orders reach it, is in a new session when an
+// order is refused there. Nothing may be placed in that before a report shows it: freed
+// with the old session's work, it ran elsewhere while it still ran here.
+func TestNewSessionNeedsAReport(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	m := b.machines["m-1"]
+	b.add(array("req-1", 1, 1))
+	b.now = b.now.Add(14500 * time.Millisecond)
+	b.Heard(&wire.Report{Machine: "m-1", Session: 2, Seq: 50, Token: m.token}, b.now) // the refusal's body
+	b.Schedule(b.now)
+	b.commit()
+	if o, ok := b.Orders("m-1", true); ok && o.Session != 1 {
+		t.Errorf("an order in session %d, of which no report has come", o.Session)
+	}
+	b.now = b.now.Add(2 * time.Second)
+	b.Schedule(b.now)
+	if !m.silent {
+		t.Error("not silent although its lease has run out")
+	}
+	v, _ := b.Report(&wire.Report{Machine: "m-1", Session: 2, Seq: 51, Token: m.token}, b.now, true)
+	if v != Accepted || m.silent || m.session != 2 {
+		t.Errorf("verdict %v, silent %v, session %d after the first report of session 2", v, m.silent, m.session)
+	}
+}
+
+// A task is cancelled while the order with its start is under way, which never leaves.
+// Its place stayed booked for good, and with it the team's share.
+func TestStopMeetsAnOrderThatNeverLeft(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 1, 1))
+	b.Schedule(b.now)
+	b.commit()
+	o, _ := b.Orders("m-1", true)
+	b.Cancel("req-1", b.now)
+	b.Ordered(o, "m-1", OrderDropped)
+	for range 3 {
+		b.report("m-1")
+		b.now = b.now.Add(2 * time.Second)
+		b.Schedule(b.now)
+		b.commit()
+	}
+	if len(b.machines["m-1"].places) != 0 || b.jobs["req-1"] != nil {
+		t.Errorf("%d placements stand, job known: %v", len(b.machines["m-1"].places), b.jobs["req-1"] != nil)
+	}
+}
+
+// The records of a gang's end may be half written when its owner ends. What is left of
+// it can't be placed as a gang, so that the job had no end.
+func TestGangDoneInPartIsDone(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	j := &wire.Job{ID: "req-000001", Class: "c", Team: "free", Shape: wire.Gang, Rank: "standard", Tasks: 3, CPUs: 1, RAM: 1, Image: "i", Estimate: 10}
+	b.Load([]LoadedChunk{{Job: j.ID, Stamp: 50, Record: ChunkRecord{Job: j, Try: 1, Done: []int{0, 1},
+		Live: []LiveRecord{{Task: 1, Try: 1, Machine: "m-lost", Session: 1}, {Task: 2, Try: 1, Machine: "m-1", Session: 1}}}}}, nil)
+	b.Schedule(b.now)
+	if x := b.Batch(); x.ended == nil || x.ended.ID != j.ID {
+		t.Error("the job's end is not committed")
+	}
+	if n := len(b.machines["m-1"].places); n != 1 {
+		t.Errorf("%d places booked where its worker has not reported yet", n)
+	}
+}
+
+// A machine that the cloud lists as up, but that was never heard since the part's owner
+// changed, is told apart from one that boots.
+func TestUnheardMachineIsNoted(t *testing.T) {
+	b := newBed()
+	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, 100, b.now)
+	b.machine("m-2", "cpu", "a", false)
+	if n := b.Summary(b.now.Add(10 * time.Second)).Machines["m-1"]; n&NoteUnheard != 0 {
+		t.Error("noted as unheard before it could be back")
+	}
+	s := b.Summary(b.now.Add(time.Minute))
+	if s.Machines["m-1"]&NoteUnheard == 0 || s.Machines["m-2"]&NoteUnheard != 0 {
+		t.Errorf("notes %v", s.Machines)
+	}
+}
+
+// A job that is marked as cancelled may be known later than its mark, when the watch is
+// behind: nothing of it may start, and its records go.
+func TestMarkedBeforeItIsKnown(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.Marked([]string{"req-1"}, b.now)
+	b.add(array("req-1", 2, 1))
+	b.add(array("req-2", 1, 1))
+	b.Schedule(b.now)
+	if n := len(b.machines["m-1"].places); n != 1 {
+		t.Errorf("%d placements beside a cancelled job", n)
+	}
+	b.commit()
+	if b.jobs["req-1"] != nil {
+		t.Error("the cancelled job's records stand")
+	}
+}
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -293,7 +293,12 @@
 		p.loadChunk(c)
 	}
 	for _, j := range p.jobs {
-		j.broken = j.Shape == wire.Gang && len(j.placed) > 0 && len(j.placed) < j.Tasks
+		if j.Shape == wire.Gang && j.done > 0 {
+			// Its records may have been on the way when the last owner ended. The tasks
+			// complete together, and what is left of it could never be placed again.
+			p.finishGang(j)
+		}
+		j.broken = j.Shape == wire.Gang && j.done == 0 && len(j.placed) > 0 && len(j.placed) < j.Tasks
 	}
 }
 
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -129,9 +129,10 @@
 
 // What there is to tell, in any combination.
 const (
-	NoteUp    MachineNote = 1 << iota // has reported to this owner
-	NoteEmpty                         // may be moved or given back
-	NoteBad                           // is to go back: faulty, deaf, or silent beyond its lease
+	NoteUp      MachineNote = 1 << iota // has reported to this owner
+	NoteEmpty                           // may be moved or given back
+	NoteUnheard                         // has been there for long, and was never heard
+	NoteBad                             // is to go back: faulty, deaf, or silent beyond its lease
 )
 
 // Demand is a number of like tasks that wait unplaced.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -168,14 +168,7 @@
 		clear(m.failures)
 		j.backoff = 0
 		if j.Shape == wire.Gang {
-			// The tasks of a gang complete together, so the others are done even
-			// if their machines are lost before they can say so.
-			for i := range j.tasks {
-				p.finish(j, i)
-			}
-			for _, o := range j.placed {
-				o.over = true
-			}
+			p.finishGang(j)
 		} else {
 			p.finish(j, pl.task)
 		}
@@ -191,6 +184,17 @@
 	}
 }
 
+// finishGang ends a gang: its tasks complete together, so the others are done even if
+// their machines are lost before they can say so.
+func (p *Part) finishGang(j *Job) {
+	for i := range j.tasks {
+		p.finish(j, i)
+	}
+	for _, o := range j.placed {
+		o.over = true
+	}
+}
+
 func (p *Part) finish(j *Job, task int) {
 	if j.tasks[task] == done {
 		return
@@ -473,7 +477,9 @@
 		case outcome == OrderExecuted:
 			pl.seen = true
 		case outcome == OrderDropped:
-			pl.sent, pl.direct = false, 0
+			// One that is to be stopped by now is not sent again; the next report shows
+			// that it is not there. Taken as not sent, nothing would ever free it.
+			pl.sent, pl.direct = pl.kill != nil, 0
 		default:
 			m.doubt, m.doubtToken = true, m.token
 		}
@@ -502,6 +508,12 @@
 	if m == nil || r.Token > m.token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return
 	}
+	if m.spoken && r.Session > m.session {
+		// Its lease ran out, and no report of the new session has come. Work that was
+		// placed in it once was freed with the old one's, a lease too early: the time
+		// that Sweep waits counts from the last report that was answered.
+		return
+	}
 	m.session, m.seq = r.Session, r.Seq
 	if r.Token == m.token {
 		p.ack(m, now)
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -46,6 +46,9 @@
 		case !m.acked && len(m.places) > 0 && now.Sub(m.adopted) > patience:
 			// Never heard since the takeover: only its return frees its tasks.
 			note |= NoteBad
+		case !m.spoken && now.Sub(m.adopted) > patience:
+			// Booting still, or cut off: the cloud's list tells.
+			note |= NoteUnheard
 		case !m.deaf.IsZero() && now.Sub(m.deaf) > patience:
 			// It reports, but neither answers nor orders arrive there.
 			note |= NoteBad
