--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -176,6 +176,26 @@
 	return done
 }
 
+// cancelJob has a job's user cancel it.
+func (d *day) cancelJob(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cancel[id]()
+}
+
+// count counts the jobs that ended in a phase.
+func (d *day) count(p wire.Phase) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, x := range d.ended {
+		if x == p {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *day) crash(i int) {
 	d.mu.Lock()
 	f := d.up[i]
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"ambersill/internal/core"
 	"ambersill/internal/standin"
 	"ambersill/internal/wire"
 )
@@ -107,6 +108,8 @@
 		{name: "machines hang", script: with(standin.Trouble{At: 41500 * time.Millisecond, For: 12 * second, Kind: standin.Hang, Count: 3})},
 		{name: "machines are deaf", script: with(standin.Trouble{At: 41500 * time.Millisecond, For: 90 * second, Kind: standin.Deaf, Count: 3})},
 		{name: "reports come through a third node", script: with(standin.Trouble{At: 39 * second, For: 80 * second, Kind: standin.WorkersCut, Nodes: []int{standin.Owner}})},
+		{name: "all at the same moment", script: []standin.Trouble{refused, {At: 40 * second, Kind: standin.CancelNow, Count: 5},
+			{At: 41500 * time.Millisecond, For: 60 * second, Kind: standin.StateOut}}},
 		{name: "answers are slow", script: with(standin.Trouble{At: 30 * second, For: 90 * second, Kind: standin.StateSlow, Wait: 800 * time.Millisecond})},
 	}
 	for i := range all {
@@ -122,3 +125,225 @@
 	}
 	meet(t, all)
 }
+
+// atLimit has every team with a limit use all of it for as long as anything is checked
+// here, with more of its work waiting.
+func atLimit(d *day) {
+	for n := range 16 {
+		j := work(100+n, 1, 4, 300)
+		j.Team = "blue"
+		d.submit(j, 0)
+		g := work(200+n, 1, 2, 300)
+		g.Team, g.GPUs, g.Types = "red", 1, nil
+		d.submit(g, 0)
+	}
+}
+
+// teamsFull notes whether every team with a limit used all of it at that time.
+func teamsFull(at time.Duration) func(d *day) {
+	return func(d *day) {
+		time.Sleep(at)
+		for _, c := range d.settings(0).Cluster.Teams {
+			cpus, gpus := d.world.Used(c.Name)
+			if (c.CPUsMax > 0 && cpus < c.CPUsMax) || (c.GPUsMax > 0 && gpus < c.GPUsMax) {
+				d.t.Errorf("the meeting did not come about: %s uses %v CPUs and %v GPUs", c.Name, cpus, gpus)
+			}
+		}
+	}
+}
+
+// stream submits a one-task job each gap, and cancels every fourth after a while.
+func stream(first, n, tasks int, cpus float64, gap time.Duration, seconds float64) func(d *day) {
+	return func(d *day) {
+		for i := range n {
+			cancel := time.Duration(0)
+			if i%4 == 3 {
+				cancel = time.Duration(i%5) * second
+			}
+			d.submit(work(first+i, tasks, cpus, seconds), cancel)
+			time.Sleep(gap)
+		}
+	}
+}
+
+// starts expects that many, so that no task ran anew that need not have.
+func starts(n int) func(t *testing.T, d *day) {
+	return func(t *testing.T, d *day) {
+		if got := d.world.Starts(); got != n {
+			t.Errorf("%d starts of %d tasks", got, n)
+		}
+	}
+}
+
+// Work changes hands while its machines can't be asked: nothing is freed by time alone.
+func TestTakeoversMeetSilence(t *testing.T) {
+	owner, all := []int{standin.Owner}, []int{0, 1, 2}
+	crash := standin.Trouble{At: 60 * second, Kind: standin.Crash, Nodes: owner, Wait: 4 * second}
+	tenTimes := []standin.Trouble{{At: 90 * second, For: 25 * second, Kind: standin.StateOut}}
+	for i := range 10 {
+		tenTimes = append(tenTimes, standin.Trouble{At: time.Duration(50+12*i) * second, Kind: standin.Crash, Nodes: owner, Wait: time.Duration(200+700*i) * time.Millisecond})
+	}
+	meet(t, []meeting{
+		{name: "machines with long tasks hang as the owner ends", seed: 40, jobs: longWork(10), met: map[standin.Kind]int{standin.Hang: 4, standin.Crash: 1},
+			script: []standin.Trouble{{At: 59 * second, For: 12 * second, Kind: standin.Hang, Count: 4}, crash}},
+		{name: "machines do not hear the next owner", seed: 41, jobs: longWork(10), met: map[standin.Kind]int{standin.Deaf: 4, standin.Crash: 1},
+			script: []standin.Trouble{{At: 59 * second, For: 40 * second, Kind: standin.Deaf, Count: 4}, crash}},
+		{name: "machines cannot be reached by the next owner", seed: 42, jobs: longWork(10), met: map[standin.Kind]int{standin.ZoneCut: 1, standin.Crash: 1},
+			script: []standin.Trouble{{At: 59 * second, For: 12 * second, Kind: standin.ZoneCut, Zone: "a"}, crash}},
+		{name: "all end for longer than a lease", seed: 43, jobs: longWork(10), met: map[standin.Kind]int{standin.Crash: 3},
+			script: []standin.Trouble{{At: 60 * second, Kind: standin.Crash, Nodes: all, Wait: 20 * second}}},
+		{name: "handed over and back, all end, and one is back at once", seed: 44, jobs: longWork(10), met: map[standin.Kind]int{standin.Crash: 5},
+			script: []standin.Trouble{crash, {At: 66 * second, Kind: standin.Crash, Nodes: owner, Wait: 300 * time.Millisecond},
+				{At: 72 * second, Kind: standin.Crash, Nodes: all, Wait: 200 * time.Millisecond}}, check: starts(20)},
+		{name: "ten owners in two minutes, and an outage", seed: 45, jobs: longWork(10), met: map[standin.Kind]int{standin.Crash: 8, standin.StateOut: 1}, script: tenTimes},
+		{name: "a zone is cut off with the owner inside", seed: 46, jobs: longWork(10), met: map[standin.Kind]int{standin.ZoneCut: 1},
+			script: []standin.Trouble{{At: 60 * second, For: 50 * second, Kind: standin.ZoneCut, Zone: "a", Nodes: owner}}},
+		{name: "a zone is cut off with another inside", seed: 47, jobs: longWork(10), met: map[standin.Kind]int{standin.ZoneCut: 1},
+			script: []standin.Trouble{{At: 60 * second, For: 50 * second, Kind: standin.ZoneCut, Zone: "b", Nodes: []int{standin.Others}}}},
+	})
+}
+
+// The owner has its workers and users only, and jobs are cancelled through the next one,
+// which does not reach the workers: they must not live on the old one's answers.
+func TestOldOwnerKeepsTheWorkers(t *testing.T) {
+	meet(t, []meeting{{name: "cancelled through the next owner", seed: 50, jobs: longWork(10), met: map[standin.Kind]int{standin.Alone: 1, standin.CancelNow: 5},
+		script: []standin.Trouble{{At: 60 * second, For: 80 * second, Kind: standin.Alone, Nodes: []int{standin.Owner}},
+			{At: 60 * second, For: 80 * second, Kind: standin.WorkersCut, Nodes: []int{standin.Others}},
+			{At: 68 * second, Kind: standin.CancelNow, Count: 5}}}})
+}
+
+// Teams are at their limits while the owner changes, machines can't be asked, and jobs
+// are cancelled: what may still be on a machine counts.
+func TestTeamsAtTheirLimits(t *testing.T) {
+	crash := standin.Trouble{At: 71 * second, Kind: standin.Crash, Nodes: []int{standin.Owner}, Wait: 3 * second}
+	cancels := standin.Trouble{At: 70500 * time.Millisecond, Kind: standin.CancelNow, Count: 0}
+	met := map[standin.Kind]int{standin.CancelNow: 6, standin.Crash: 1}
+	row := func(name string, seed uint64, silence standin.Trouble) meeting {
+		return meeting{name: name, seed: seed, jobs: atLimit, during: teamsFull(69 * second), met: met, script: []standin.Trouble{silence, cancels, crash}}
+	}
+	meet(t, []meeting{
+		row("machines hang", 60, standin.Trouble{At: 70 * second, For: 13 * second, Kind: standin.Hang, Count: 3}),
+		row("a zone is cut off", 61, standin.Trouble{At: 70 * second, For: 13 * second, Kind: standin.ZoneCut, Zone: "a"}),
+		row("machines are deaf", 63, standin.Trouble{At: 70 * second, For: 30 * second, Kind: standin.Deaf, Count: 3}),
+	})
+}
+
+// Old reports, commands and writes arrive after newer ones.
+func TestLateMessages(t *testing.T) {
+	owner := []int{standin.Owner}
+	boots := func(d *day) {
+		d.cloud.BootTime = func(wire.MachineType) time.Duration { return 1500 * time.Millisecond }
+	}
+	// Whole machines of work that yields to others before its start is surely known.
+	yielding := func(d *day) {
+		for i := range 60 {
+			j := work(i, 2, 8, 12)
+			if j.Rank = "idle"; i%2 == 1 {
+				j.Rank = "urgent"
+			}
+			d.submit(j, 0)
+			time.Sleep(second)
+		}
+	}
+	meet(t, []meeting{
+		{name: "old reports as the next owner begins", seed: 70, jobs: stream(0, 20, 3, 4, second, 60), met: map[standin.Kind]int{standin.ReportsForNext: 6, standin.Crash: 1},
+			script: []standin.Trouble{{At: 22 * second, For: 20 * second, Kind: standin.ReportsForNext}, {At: 50 * second, Kind: standin.Crash, Nodes: owner, Wait: 3 * second}}},
+		{name: "old reports once the next owner has acted", seed: 71, jobs: stream(0, 20, 3, 4, second, 60), met: map[standin.Kind]int{standin.ReportsForNext: 6, standin.Crash: 1},
+			script: []standin.Trouble{{At: 22 * second, For: 20 * second, Kind: standin.ReportsForNext, Wait: 6 * second}, {At: 50 * second, Kind: standin.Crash, Nodes: owner, Wait: 3 * second}}},
+		{name: "copies from earlier sessions and attempts", seed: 72, jobs: stream(0, 60, 2, 4, second, 15), met: map[standin.Kind]int{standin.LateReports: 50, standin.Hang: 4},
+			script: []standin.Trouble{{At: 20 * second, For: 80 * second, Kind: standin.LateReports, Share: 0.3, Wait: 30 * second}, {At: 45 * second, For: 16 * second, Kind: standin.Hang, Count: 4}}},
+		{name: "orders are held up", seed: 73, jobs: yielding, met: map[standin.Kind]int{standin.HeldOrders: 5},
+			script: []standin.Trouble{{At: 45 * second, For: 40 * second, Kind: standin.HeldOrders, Count: 8, Wait: 7 * second}}},
+		{name: "machines go on with an order in flight", seed: 74, jobs: stream(0, 60, 2, 4, second, 20), met: map[standin.Kind]int{standin.Hang: 4},
+			script: []standin.Trouble{{At: 30 * second, For: 9 * second, Kind: standin.Hang}, {At: 42 * second, For: 9 * second, Kind: standin.Hang}, {At: 55 * second, For: 13 * second, Kind: standin.Hang}}},
+		{name: "machines reach no controller, orders reach them", seed: 75, jobs: stream(0, 60, 3, 4, second, 12), met: map[standin.Kind]int{standin.Mute: 4},
+			script: []standin.Trouble{{At: 45 * second, For: 45 * second, Kind: standin.Mute, Count: 6}, {At: 48 * second, Kind: standin.Crash, Nodes: owner, Wait: 2 * second}}},
+		{name: "writes are late", seed: 76, jobs: stream(0, 150, 2, 2, 500*time.Millisecond, 10), met: map[standin.Kind]int{standin.LateWrites: 10, standin.Crash: 2},
+			script: []standin.Trouble{{At: 30 * second, For: 40 * second, Kind: standin.LateWrites, Share: 0.4}, {At: 40 * second, Kind: standin.Crash, Nodes: owner, Wait: second},
+				{At: 55 * second, Kind: standin.Crash, Nodes: owner, Wait: second}}},
+		{name: "answers to writes are lost", seed: 77, looks: true, jobs: stream(0, 40, 2, 2, second, 10), met: map[standin.Kind]int{standin.LostAnswers: 20},
+			script: []standin.Trouble{{At: 10 * second, For: 50 * second, Kind: standin.LostAnswers, Share: 0.4}}},
+		{name: "machines boot within two seconds, writes lag, and the owner ends", seed: 78, setup: boots, jobs: stream(0, 40, 2, 2, second, 30), met: map[standin.Kind]int{standin.StateSlow: 1, standin.Crash: 2},
+			script: []standin.Trouble{{At: 3 * second, For: 60 * second, Kind: standin.StateSlow, Wait: 700 * time.Millisecond},
+				{At: 15 * second, Kind: standin.Crash, Nodes: owner, Wait: second}, {At: 35 * second, Kind: standin.Crash, Nodes: owner, Wait: second}}},
+	})
+}
+
+// Users see no older answer, wherever they ask.
+func TestUsersMeetChanges(t *testing.T) {
+	cancelAtEnd := func(d *day) { // at once, or while its owner is about to say so
+		n := 0
+		d.world.Ended = func(id string) {
+			n++
+			time.AfterFunc(time.Duration(n%8)*100*time.Millisecond, func() { d.cancelJob(id) })
+		}
+	}
+	records := func(t *testing.T, d *day) {
+		time.Sleep(10 * second)
+		for _, prefix := range []string{core.ChunkPrefix(0), core.CancelPrefix(0)} {
+			if n := d.state.Count(prefix); n != 0 {
+				t.Errorf("%d records under %s of jobs that are over", n, prefix)
+			}
+		}
+	}
+	meet(t, []meeting{
+		{name: "cancelled and asked about at the last task's end", seed: 80, looks: true, setup: cancelAtEnd, jobs: stream(0, 60, 1, 2, 500*time.Millisecond, 5),
+			check: func(t *testing.T, d *day) {
+				if done, cancelled := d.count(wire.Done), d.count(wire.Cancelled); done < 5 || cancelled < 5 {
+					t.Errorf("%d done, %d cancelled", done, cancelled)
+				}
+			}},
+		{name: "asked at all nodes within milliseconds", seed: 81, looks: true, jobs: stream(0, 40, 2, 2, 500*time.Millisecond, 6), met: map[standin.Kind]int{standin.CancelNow: 3},
+			script: []standin.Trouble{{At: 30 * second, Kind: standin.CancelNow, Count: 10}, {At: 34 * second, Kind: standin.CancelNow, Count: 10}}},
+		{name: "cancelled while the work changes hands", seed: 82, looks: true, jobs: longWork(10), met: map[standin.Kind]int{standin.CancelNow: 9, standin.Crash: 1},
+			script: []standin.Trouble{{At: 60 * second, Kind: standin.Crash, Nodes: []int{standin.Owner}, Wait: 20 * second}, {At: 60300 * time.Millisecond, Kind: standin.CancelNow, Count: 3},
+				{At: 62 * second, Kind: standin.CancelNow, Count: 3}, {At: 64500 * time.Millisecond, Kind: standin.CancelNow, Count: 3}}},
+		{name: "one-task jobs four a second, a quarter cancelled", seed: 83, jobs: stream(0, 480, 1, 2, 250*time.Millisecond, 5), check: records},
+		{name: "odd requests", seed: 84, jobs: func(d *day) {
+			longWork(2)(d)
+			u := &standin.User{World: d.world, Net: d.fabric.Host("odd"), Pick: func() standin.Node { return d.nodes[d.rnd.IntN(3)] }}
+			for n := range 10 {
+				time.Sleep(2 * second)
+				u.Odd(d.ctx, work(500+n, 1, 1, 5))
+			}
+		}},
+	})
+}
+
+// Jobs of two or three tasks end far apart, in an outage and across changes of the owner:
+// what has ended is not run again.
+func TestEndsFarApart(t *testing.T) {
+	meet(t, []meeting{{name: "across owners and an outage", seed: 90, met: map[standin.Kind]int{standin.Crash: 2, standin.StateOut: 1}, check: starts(30),
+		setup: func(d *day) {
+			d.world.RunTime = func(_ *wire.Job, task int) time.Duration { return time.Duration(15+25*task) * second }
+		},
+		jobs: func(d *day) {
+			for n := range 10 {
+				d.submit(work(n, 3, 2, 40), 0)
+				time.Sleep(2 * second)
+			}
+		},
+		script: []standin.Trouble{{At: 50 * second, For: 8 * second, Kind: standin.StateOut}, {At: 56 * second, Kind: standin.Crash, Nodes: []int{standin.Owner}, Wait: 2 * second},
+			{At: 75 * second, Kind: standin.Crash, Nodes: []int{standin.Owner}, Wait: 2 * second}}}})
+}
+
+// Jobs bound to one zone, arrays too, lose machines, and a zone is cut off.
+func TestOneZoneLosesMachines(t *testing.T) {
+	meet(t, []meeting{{name: "taken, and cut off", seed: 91, met: map[standin.Kind]int{standin.Taken: 6, standin.ZoneCut: 1},
+		jobs: func(d *day) {
+			for n := range 12 {
+				j := work(n, 3, 4, 60)
+				j.OneZone = true
+				if n%3 == 0 {
+					j.Zone = "b"
+				}
+				if n%3 == 1 {
+					j.Shape, j.Checkpoint, j.Save = wire.Gang, 20, 2
+				}
+				d.submit(j, 0)
+				time.Sleep(3 * second)
+			}
+		},
+		script: []standin.Trouble{{At: 45 * second, Kind: standin.Taken, Count: 3, Zone: "a"}, {At: 55 * second, Kind: standin.Taken, Count: 3, Zone: "b"},
+			{At: 70 * second, For: 20 * second, Kind: standin.ZoneCut, Zone: "a"}}}})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -143,6 +143,19 @@
 	s.down = down
 }
 
+// Count counts the keys with a prefix.
+func (s *State) Count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Dump lists all keys with their values, for a test's report.
 func (s *State) Dump() string {
 	s.mu.Lock()
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -32,9 +32,11 @@
 	LostAnswers Kind = "lost answers"
 	// LateReports: of that Share of reports a copy reaches some node again, up to Wait later.
 	LateReports Kind = "late reports"
-	// ReportsForNext: copies are kept, and reach every node as soon as the part has
+	// ReportsForNext: copies are kept, and reach every node Wait after the part has
 	// another owner.
 	ReportsForNext Kind = "reports for next"
+	// SlowLinks: whatever is sent takes Wait longer.
+	SlowLinks Kind = "slow links"
 	// Hang, Deaf, Mute: Count machines with work (0: all) hang, hear nothing, or reach no
 	// controller.
 	Hang Kind = "hang"
@@ -195,9 +197,10 @@
 }
 
 func (s *Stage) strike(ctx context.Context, t Trouble) {
+	t.Nodes = s.nodes(t) // whoever owns the part when the trouble is over
 	switch t.Kind {
 	case Crash:
-		for _, n := range s.nodes(t) {
+		for _, n := range t.Nodes {
 			s.meet(t.Kind, 1)
 			s.Crash(n)
 			s.wg.Go(func() {
@@ -209,12 +212,11 @@
 			})
 		}
 	case StateRefuses:
-		nodes := s.nodes(t)
-		for _, n := range nodes {
+		for _, n := range t.Nodes {
 			s.State.Refuse(s.Nodes[n].Name, true)
 		}
 		lasts(ctx, t)
-		for _, n := range nodes {
+		for _, n := range t.Nodes {
 			s.meet(t.Kind, s.State.Refused(s.Nodes[n].Name))
 			s.State.Refuse(s.Nodes[n].Name, false)
 		}
@@ -269,6 +271,11 @@
 		s.cut(t, true)
 		lasts(ctx, t)
 		s.cut(t, false)
+	case SlowLinks:
+		s.meet(t.Kind, 1)
+		s.Fabric.Delay(t.Wait)
+		lasts(ctx, t)
+		s.Fabric.Delay(0)
 	case CancelNow:
 		s.meet(t.Kind, s.Cancel(t.Count))
 	default:
@@ -311,11 +318,16 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	for _, send := range kept {
-		for _, n := range s.Nodes {
-			s.meet(t.Kind, 1)
-			s.wg.Go(func() { send(n) })
+	time.Sleep(t.Wait)
+	// Several times, since it begins when it has read its records.
+	for range 6 {
+		for _, send := range kept {
+			for _, n := range s.Nodes {
+				s.meet(t.Kind, 1)
+				s.wg.Go(func() { send(n) })
+			}
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
 }
 
@@ -360,7 +372,7 @@
 func (s *Stage) cut(t Trouble, on bool) {
 	part := func(a, b string) { s.Fabric.Cut(a, b, on) }
 	inside := map[string]bool{}
-	for _, n := range s.nodes(t) {
+	for _, n := range t.Nodes {
 		inside[s.Nodes[n].Name] = true
 	}
 	if on {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,7 +30,7 @@
 	GangPeer  time.Duration
 	Cancelled time.Duration // cancel_s
 	// RunTime of a task; nil: its estimate.
-	RunTime func(j *wire.Job) time.Duration
+	RunTime func(j *wire.Job, task int) time.Duration
 	// Copies, if set, is shown each report, and may send copies of it to nodes later.
 	Copies func(r *wire.Report, send func(to Node))
 	// Ended, if set, is told when the last task of a job completes.
@@ -378,16 +378,16 @@
 		w.gather(k, t)
 	default:
 		t.state = wire.RunningTask
-		k.after(t, w.runTime(j), func() {
+		k.after(t, w.runTime(j, t.index), func() {
 			w.complete(t)
 			k.exit(t, wire.CauseDone, false)
 		})
 	}
 }
 
-func (w *World) runTime(j *wire.Job) time.Duration {
+func (w *World) runTime(j *wire.Job, task int) time.Duration {
 	if w.RunTime != nil {
-		return w.RunTime(j)
+		return w.RunTime(j, task)
 	}
 	return time.Duration(j.Estimate * float64(time.Second))
 }
@@ -416,8 +416,14 @@
 	}
 }
 
-func (w *World) quota(team string) {
-	var cpus, gpus float64
+// Used is what a team's tasks use.
+func (w *World) Used(team string) (cpus, gpus float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used(team)
+}
+
+func (w *World) used(team string) (cpus, gpus float64) {
 	for _, ks := range w.on {
 		for _, t := range ks {
 			if t.job.Team == team {
@@ -426,6 +432,11 @@
 			}
 		}
 	}
+	return cpus, gpus
+}
+
+func (w *World) quota(team string) {
+	cpus, gpus := w.used(team)
 	for _, c := range w.Teams {
 		if c.Name == team && ((c.CPUsMax > 0 && cpus > c.CPUsMax+1e-6) || (c.GPUsMax > 0 && gpus > c.GPUsMax+1e-6)) {
 			w.breaks("quota", "%s uses %v CPUs and %v GPUs", team, cpus, gpus)
@@ -465,7 +476,7 @@
 	}
 	for m, mk := range ms {
 		m.state = wire.RunningTask
-		mk.after(m, w.runTime(t.job), func() {
+		mk.after(m, w.runTime(t.job, 0), func() {
 			for o, ok := range w.mates(m) {
 				if o.state == wire.RunningTask {
 					w.complete(o)
