--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -15,14 +15,6 @@
 	listeners map[string]*listener
 	hosts     map[string]*Host
 	cuts      map[[2]string]bool
-	delay     time.Duration // that whatever is sent takes
-}
-
-// Delay has all that is sent from now on take that long.
-func (f *Fabric) Delay(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.delay = d
 }
 
 // NewFabric makes an empty network.
@@ -52,17 +44,6 @@
 	remote string // host at the other end
 }
 
-// Write sends over a link that may be slow.
-func (c *conn) Write(b []byte) (int, error) {
-	c.a.f.mu.Lock()
-	d := c.a.f.delay
-	c.a.f.mu.Unlock()
-	if d > 0 {
-		time.Sleep(d)
-	}
-	return c.Conn.Write(b)
-}
-
 // RemoteAddr names the host at the other end.
 func (c *conn) RemoteAddr() net.Addr { return addr(c.remote) }
 
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -35,7 +35,7 @@
 	// ReportsForNext: copies are kept, and reach every node Wait after the part has
 	// another owner.
 	ReportsForNext Kind = "reports for next"
-	// SlowLinks: whatever is sent takes Wait longer.
+	// SlowLinks: what workers and users send and get takes Wait longer each way.
 	SlowLinks Kind = "slow links"
 	// Hang, Deaf, Mute: Count machines with work (0: all) hang, hear nothing, or reach no
 	// controller.
@@ -273,9 +273,9 @@
 		s.cut(t, false)
 	case SlowLinks:
 		s.meet(t.Kind, 1)
-		s.Fabric.Delay(t.Wait)
+		s.World.Delay(t.Wait)
 		lasts(ctx, t)
-		s.Fabric.Delay(0)
+		s.World.Delay(0)
 	case CancelNow:
 		s.meet(t.Kind, s.Cancel(t.Count))
 	default:
@@ -294,6 +294,9 @@
 	s.mu.Unlock()
 }
 
+// keepLimit is how long another owner is waited for.
+const keepLimit = 2 * time.Minute
+
 // keepReports keeps the first copy of each machine's reports in this trouble, and sends
 // them to every node when the part has another owner.
 func (s *Stage) keepReports(ctx context.Context, t Trouble) {
@@ -312,11 +315,13 @@
 	s.mu.Lock()
 	s.copyR = nil
 	s.mu.Unlock()
-	for ctx.Err() == nil {
+	for end := time.Now().Add(keepLimit); ; time.Sleep(20 * time.Millisecond) {
 		if n, now := s.Owner(); n >= 0 && now != stamp {
 			break
 		}
-		time.Sleep(20 * time.Millisecond)
+		if ctx.Err() != nil || time.Now().After(end) {
+			return
+		}
 	}
 	time.Sleep(t.Wait)
 	// Several times, since it begins when it has read its records.
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -174,6 +174,8 @@
 	var v wire.JobView
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	u.World.link(ctx)
+	defer u.World.link(ctx)
 	resp, err := transport.Send(ctx, cl, method, "http://"+to.Addr+path, body)
 	if err != nil {
 		return v, 0
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -271,6 +271,8 @@
 func (k *Worker) post(ctx context.Context, cl *http.Client, url string, body, ok, redirect any) int {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
+	k.world.link(ctx)
+	defer k.world.link(ctx)
 	resp, err := transport.Send(ctx, cl, http.MethodPost, url, body)
 	if err != nil {
 		return 0
@@ -300,6 +302,7 @@
 		if !read(w, r, &o) {
 			return
 		}
+		k.world.link(ctx)
 		k.world.mu.Lock()
 		if k.deaf {
 			k.world.mu.Unlock()
@@ -346,6 +349,13 @@
 	_ = srv.Serve(l)
 }
 
+// Execute carries out a command as if an order had brought it.
+func (k *Worker) Execute(c wire.Command) {
+	k.world.mu.Lock()
+	defer k.world.mu.Unlock()
+	k.execute([]wire.Command{c})
+}
+
 // execute carries commands out; the world's lock must be held.
 func (k *Worker) execute(cs []wire.Command) {
 	for _, c := range cs {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -52,6 +52,7 @@
 	final  map[string]time.Time // when a job was first called done or cancelled
 	taken  map[string]time.Time // when a job was first called accepted
 	idle   map[string]time.Time // since when a job has waited although there is room
+	delay  time.Duration        // of the links of workers and users
 	late   int                  // starts after a confirmed cancellation
 }
 
@@ -63,6 +64,23 @@
 	w.final, w.taken, w.idle = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 }
 
+// Delay has what workers and users send and get take that much longer each way.
+func (w *World) Delay(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delay = d
+}
+
+// link waits for as long as the link takes.
+func (w *World) link(ctx context.Context) {
+	w.mu.Lock()
+	d := w.delay
+	w.mu.Unlock()
+	if d > 0 {
+		transport.Pause(ctx, d)
+	}
+}
+
 // net is the network of a machine's zone.
 func (w *World) net(m wire.CloudMachine) transport.Net {
 	if n := w.ZoneNets[m.Zone]; n != nil {
