--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -32,6 +32,8 @@
 	news  time.Time         // every cancellation confirmed before then is known to p
 	last  map[string][]byte // summary's records as last written
 	told  time.Time
+	// noted is what was last logged of the news: late, and reports still answered.
+	noted [2]bool
 }
 
 type earlyChange struct {
@@ -62,7 +64,7 @@
 
 func (c *Controller) newOwned(ctx context.Context, index int, stamp uint64) *owned {
 	ctx, cancel := context.WithCancel(ctx)
-	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1), early: map[string]earlyChange{}, last: map[string][]byte{}}
+	return &owned{c: c, index: index, stamp: stamp, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1), early: map[string]earlyChange{}, noted: [2]bool{false, true}, last: map[string][]byte{}}
 }
 
 func (o *owned) poke() {
@@ -202,12 +204,23 @@
 // fresh tells whether the news are new enough to start tasks.
 func (o *owned) fresh() bool { return o.newsAge() < tuning.Seconds(o.c.t.FreshS) }
 
+// noteNews logs when an owner's news become too old to start tasks, or to answer reports.
+func (o *owned) noteNews() {
+	age := o.newsAge()
+	late, answered := age > tuning.Seconds(o.c.t.FreshS), age <= o.c.newsLimit()
+	if state := [2]bool{late, answered}; state != o.noted {
+		o.noted = state
+		slog.Info("news of cancellations", "part", o.index, "late", late, "answered", answered, "age_s", age.Seconds())
+	}
+}
+
 // followMarks reads the marks of cancelled jobs again and again. A mark is committed with
 // the cancellation and goes when all of the job is gone, so that a reading shows
 // every cancellation up to when it was asked for.
 func (o *owned) followMarks() {
 	gap := tuning.Seconds(o.c.t.NewsS)
 	for o.ctx.Err() == nil {
+		o.noteNews()
 		asked := time.Now()
 		items, _, err := o.c.store.ListAtOnce(o.ctx, core.CancelPrefix(o.index))
 		if err != nil {
