--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -75,6 +76,7 @@
 			}
 		}
 	}
+	d.state.Changed = d.keepsEnds
 	d.serve("state", "10.2.0.1:1", d.state.Handler())
 	d.serve("cloud", "10.2.0.2:1", d.cloud.Handler())
 	d.stage = &standin.Stage{Fabric: d.fabric, State: d.state, Cloud: d.cloud, World: d.world, Nodes: d.nodes, Rand: rand.New(rand.NewPCG(seed, 5)),
@@ -83,6 +85,18 @@
 	return d
 }
 
+// keepsEnds checks that the record of a job that is over keeps its end: whoever read it
+// before may have told so.
+func (d *day) keepsEnds(key string, was, now wire.Raw) {
+	var a, b core.JobRecord
+	if !strings.HasPrefix(key, core.JobKey("")) || len(was) == 0 || wire.Unmarshal(was, &a) != nil || wire.Unmarshal(now, &b) != nil {
+		return
+	}
+	if a.Phase.Final() && b.Phase != a.Phase {
+		d.t.Errorf("broken rule: the record of %s went from %s to %s", key, a.Phase, b.Phase)
+	}
+}
+
 // serve runs a stand-in on a host of its own.
 func (d *day) serve(name, addr string, h http.Handler) {
 	host := d.fabric.Host(name)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -58,6 +58,8 @@
 	// answered that there is no news, though there may be. The protocol's page only says
 	// that watches stay open, so controllers must not take such an answer for contact.
 	WatchesEnd bool
+	// Changed, if set, is told of each key that is put, with its value before.
+	Changed func(key string, was, now wire.Raw)
 
 	mu      sync.Mutex
 	rev     uint64
@@ -391,6 +393,9 @@
 		s.rev++
 		for _, o := range t.Then {
 			if o.Put != "" {
+				if s.Changed != nil {
+					s.Changed(o.Put, s.items[o.Put].value, o.Value)
+				}
 				s.items[o.Put] = entry{value: o.Value, stamp: s.rev, hold: o.Hold}
 				s.note(change{key: o.Put, value: o.Value, stamp: s.rev})
 				continue
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -45,6 +45,8 @@
 	since  map[string]time.Time // when a cancellation was told
 	broken []string
 	starts int
+	begun  map[string]bool      // attempts that have begun, by task and number
+	again  int                  // attempts that began once more
 	calm   time.Time            // since when all troubles are over
 	heard  map[string]time.Time // when a question about a job was last answered
 	first  map[string]time.Time // when a job's first task started
@@ -59,6 +61,7 @@
 func (w *World) Init() {
 	w.jobs, w.on, w.done = map[string]*wire.Job{}, map[string]map[*Worker]*task{}, map[string]bool{}
 	w.told, w.asked, w.since = map[string]wire.Phase{}, map[string]bool{}, map[string]time.Time{}
+	w.begun = map[string]bool{}
 	w.heard, w.first = map[string]time.Time{}, map[string]time.Time{}
 	w.final, w.taken, w.idle = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 }
@@ -103,6 +106,22 @@
 	return w.starts
 }
 
+// Repeats counts the attempts that began more than once, which only a start that was
+// carried out again after the attempt was cleared can bring about.
+func (w *World) Repeats() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.again
+}
+
+// Running counts the tasks on machines.
+func (w *World) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	return len(w.on)
+}
+
 // Submitted uploads a job's description, which users do before they submit it.
 func (w *World) Submitted(j *wire.Job) {
 	w.mu.Lock()
@@ -349,6 +368,11 @@
 	w.sweep()
 	j := t.job
 	w.starts++
+	if try := fmt.Sprintf("%s %d", t.name, t.try); w.begun[try] {
+		w.again++
+	} else {
+		w.begun[try] = true
+	}
 	if _, ok := w.since[j.ID]; ok {
 		w.late++
 	}
