--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,67 @@
+package controller
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"ambersill/internal/api"
+	"ambersill/internal/core"
+	"ambersill/internal/standin"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// reporter is a controller that owns a machine with running tasks, and the machine's
+// next report, in which nothing has changed.
+func reporter(tb testing.TB, tasks int) (h http.Handler, next func() []byte) {
+	d := &day{nodes: []standin.Node{{Name: "node-0", Addr: "10.0.0.1:8080"}}}
+	c := New(d.settings(0), tuning.Default(), nil)
+	g := core.GroupRecord{Machines: map[string]core.MachineRecord{"m-000001": {Type: "big", Zone: "a"}}}
+	c.cluster.apply(machinePrefix+"m-000001", must(wire.Marshal(g)), 5, false)
+	o := c.newOwned(tb.Context(), 0, 10)
+	p := core.NewPart(0, 10, c.s, &c.t)
+	p.SetTypes(dayTypes)
+	j := work(1, tasks, 1, 1000)
+	rec := core.ChunkRecord{Job: j, Try: 1}
+	for i := range tasks {
+		rec.Live = append(rec.Live, core.LiveRecord{Task: i, Try: 1, Machine: "m-000001", Session: 1})
+	}
+	p.SetMachine("m-000001", g.Machines["m-000001"], 5, time.Now())
+	p.Load([]core.LoadedChunk{{Job: j.ID, Stamp: 20, Record: rec}}, nil)
+	o.p, o.news = p, time.Now().Add(time.Hour)
+	c.owned[0] = o
+	r := wire.Report{Machine: "m-000001", Addr: "10.1.0.1:9000", Type: "big", Zone: "a", Session: 1, Token: 10}
+	for i := range tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("%s/%d", j.ID, i), Attempt: 1, State: wire.RunningTask})
+	}
+	return api.Handler(c, 1, time.Second), func() []byte {
+		r.Seq++
+		return must(wire.Marshal(r))
+	}
+}
+
+func post(tb testing.TB, h http.Handler, body []byte) {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/agent/beat", bytes.NewReader(body)))
+	if w.Code != http.StatusOK {
+		tb.Fatalf("a report is answered %d", w.Code)
+	}
+}
+
+// What a report costs in which nothing has changed, the most frequent request by far.
+func BenchmarkUnchangedReport(b *testing.B) {
+	h, next := reporter(b, 8)
+	body := next()
+	post(b, h, body)
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		body := next()
+		b.StartTimer()
+		post(b, h, body)
+	}
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -460,6 +460,9 @@
 		return reply, false
 	}
 	c.orders.heard(r.Machine)
-	o.poke()
+	// Most reports change nothing, and on a small processor a pass for each is dear.
+	if o.p.Stirred() {
+		o.poke()
+	}
 	return reply, true
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -886,3 +886,44 @@
 		t.Error("the cancelled job's records stand")
 	}
 }
+
+// A report in which nothing has changed, the most frequent request, asks for no pass and
+// costs few allocations however many tasks the machine has.
+func TestUnchangedReportCostsLittle(t *testing.T) {
+	b := newBed()
+	b.machine("m-1", "cpu", "a", false)
+	b.add(array("req-1", 8, 1))
+	b.Schedule(b.now)
+	b.commit()
+	b.report("m-1")
+	b.report("m-1")
+	b.Schedule(b.now)
+	b.commit()
+	if b.Stirred() {
+		t.Error("a pass is asked for after one that left nothing to do")
+	}
+	r := &wire.Report{Machine: "m-1", Session: 1, Seq: b.seq["m-1"], Token: b.machines["m-1"].token}
+	for _, x := range b.on["m-1"] {
+		r.Tasks = append(r.Tasks, x)
+	}
+	if len(r.Tasks) != 8 {
+		t.Fatalf("%d tasks run", len(r.Tasks))
+	}
+	allocs := testing.AllocsPerRun(100, func() {
+		r.Seq++
+		if v, reply := b.Report(r, b.now, true); v != Accepted || len(reply.Commands) != 0 {
+			t.Fatalf("verdict %v, commands %v", v, reply.Commands)
+		}
+	})
+	if allocs > 1 {
+		t.Errorf("%v allocations", allocs)
+	}
+	if b.Stirred() {
+		t.Error("unchanged reports ask for a pass")
+	}
+	r.Tasks[0].State, r.Tasks[0].Cause = wire.Exited, wire.CauseDone
+	r.Seq++
+	if b.Report(r, b.now, true); !b.Stirred() {
+		t.Error("the end of a task asks for no pass")
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -48,8 +48,13 @@
 		}
 	}
 	p.consolidate(now)
+	p.passed = p.room
 }
 
+// Stirred tells whether anything has changed since the last pass that one would act on
+// before time alone makes it do so.
+func (p *Part) Stirred() bool { return len(p.dirty) > 0 || p.room != p.passed }
+
 type queue struct {
 	team *team
 	jobs []*Job
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"ambersill/internal/tuning"
@@ -99,12 +100,14 @@
 
 // takeTasks compares the worker's list with the placements.
 func (p *Part) takeTasks(m *Machine, r *wire.Report, acked bool, now time.Time) {
-	shown := make(map[attempt]bool, len(r.Tasks))
+	m.lists++
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		k := attempt{t.Task, t.Attempt}
-		shown[k] = true
 		pl := m.places[k]
+		if pl != nil {
+			pl.listed = m.lists
+		}
 		if pl == nil || pl.session > r.Session {
 			continue
 		}
@@ -129,9 +132,9 @@
 		c := pl.chunk()
 		m.clearing[k] = clearance{chunk: c, version: c.version}
 	}
-	for _, k := range sortedAttempts(m.places) {
+	for _, k := range m.unlisted() {
 		pl := m.places[k]
-		if pl == nil || shown[k] {
+		if pl == nil {
 			continue
 		}
 		switch {
@@ -148,7 +151,11 @@
 			p.requeue(pl, now)
 		}
 	}
-	if acked {
+	if acked && len(m.clearing) > 0 {
+		shown := make(map[attempt]bool, len(r.Tasks))
+		for i := range r.Tasks {
+			shown[attempt{r.Tasks[i].Task, r.Tasks[i].Attempt}] = true
+		}
 		for k := range m.clearing {
 			if !shown[k] {
 				delete(m.clearing, k)
@@ -157,6 +164,17 @@
 	}
 }
 
+// unlisted are the placements that the newest list does not show, in order. Mostly there
+// are none: reports in which nothing has changed are by far the most frequent work.
+func (m *Machine) unlisted() []attempt {
+	for _, pl := range m.places {
+		if pl.listed != m.lists {
+			return slices.DeleteFunc(sortedAttempts(m.places), func(k attempt) bool { return m.places[k].listed == m.lists })
+		}
+	}
+	return nil
+}
+
 // exited takes in a task's end.
 func (p *Part) exited(pl *Placement, t *wire.TaskReport, now time.Time) {
 	j, m := pl.job, pl.machine
@@ -296,7 +314,7 @@
 	if !fresh || !m.acked || m.notice || m.ordering || m.doubt {
 		return out
 	}
-	for _, k := range sortedAttempts(m.places) {
+	for _, k := range p.startables(m) {
 		if len(out) >= tuning.MaxCommands {
 			break
 		}
@@ -304,9 +322,6 @@
 		// A start leaves only after its placement is committed. One that no
 		// report has shown was lost with its answer, and may be repeated: the
 		// worker sends its next report only after it is through with the last.
-		if !p.startable(pl) {
-			continue
-		}
 		pl.sent, pl.sentSeq = true, r.Seq
 		out = append(out, wire.Command{Op: wire.Start, Task: k.task, Attempt: k.try})
 	}
@@ -421,6 +436,16 @@
 		pl.session == pl.machine.session && pl.chunk().committed >= pl.version
 }
 
+// startables are the machine's placements whose starts may leave, in order.
+func (p *Part) startables(m *Machine) []attempt {
+	for _, pl := range m.places {
+		if p.startable(pl) {
+			return slices.DeleteFunc(sortedAttempts(m.places), func(k attempt) bool { return !p.startable(m.places[k]) })
+		}
+	}
+	return nil
+}
+
 // Orders gives the starts and stops to send straight to a machine. Until the
 // order is answered nothing else starts or is cleared there: a copy that is held
 // back on the way could start a task once more after it was cleared.
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -129,6 +129,7 @@
 	sentSeq uint64
 	direct  uint64 // token of the order that carried the start, if one did
 	seen    bool   // a report has shown it
+	listed  uint64 // number of the machine's list that last had it
 	state   wire.TaskState
 	began   time.Time // first seen running
 	fetched bool      // has been seen with its image
@@ -179,6 +180,7 @@
 	// earlier owner ordered has taken effect or never will.
 	acked    bool
 	spoken   bool      // has been acked under this ownership at least once
+	lists    uint64    // counts the lists of tasks taken in
 	reported uint64    // number of the newest message that was a report
 	overtook uint64    // number of the newest report that an order's answer overtook
 	answered time.Time // last report answered
@@ -254,6 +256,7 @@
 	machines map[string]*Machine
 	teams    map[string]*team
 	room     int // counts changes of free room
+	passed   int // room as the last pass left it
 	perChunk int
 	// ending are jobs that are over but whose records still stand.
 	ending []*Job
