The leader looks for machines to give back once a second, not four times

It copies the records of all machines for that, 7% of the controllers' processor time in a profile of 360 machines; what it goes by changes once a second at the most.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -142,8 +142,8 @@
 		if now.Sub(lastSum) >= tuning.Seconds(l.c.t.SummaryS) {
 			lastSum = now
 			l.readSummaries(ctx)
+			l.giveBack(ctx) // it goes by summaries and list, and looks at every machine
 		}
-		l.giveBack(ctx)
 		if urgent := l.urgent(); now.Sub(l.round) >= tuning.Seconds(l.c.t.RoundS) || urgent || l.again {
 			l.round, l.again = now, false
 			l.size(ctx)
