A row for the age of the news itself: contact all the time, and the marks cannot be read

The rows so far were red without the reading of marks, but none with contact in place of the news' age while marks are read.

--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -128,6 +128,9 @@
 	}
 	all = append(all, meeting{name: "watches are stuck", script: []standin.Trouble{stuck, cancels},
 		met: map[standin.Kind]int{standin.WatchesStuck: 1, standin.CancelNow: 5}})
+	// The owner has contact all the time, and no news.
+	all = append(all, meeting{name: "the marks cannot be read", script: []standin.Trouble{stuck, cancels, {At: 40 * second, For: 80 * second, Kind: standin.ListsRefused}},
+		met: map[standin.Kind]int{standin.WatchesStuck: 1, standin.ListsRefused: 1, standin.CancelNow: 5}})
 	for i := range all {
 		all[i].seed, all[i].jobs = uint64(20+i), longWork(8)
 		all[i].setup = func(d *day) { d.state.WatchesEnd = true }
--- a/internal/controller/rough_test.go
+++ b/internal/controller/rough_test.go
@@ -22,7 +22,7 @@
 	}
 	t := standin.Trouble{For: secs(3, 30), Count: 1 + rnd.IntN(5), Zone: []string{"a", "b"}[rnd.IntN(2)], Wait: secs(1, 12), Share: 0.1 + 0.4*rnd.Float64()}
 	t.Nodes = [][]int{{standin.Owner}, {standin.Owner}, {standin.Others}, {rnd.IntN(3)}, {0, 1, 2}}[rnd.IntN(5)]
-	kinds := []standin.Kind{standin.Crash, standin.StateRefuses, standin.StateOut, standin.StateSlow, standin.WatchesStuck, standin.LateWrites, standin.LostAnswers,
+	kinds := []standin.Kind{standin.Crash, standin.StateRefuses, standin.StateOut, standin.StateSlow, standin.WatchesStuck, standin.ListsRefused, standin.LateWrites, standin.LostAnswers,
 		standin.LateReports, standin.ReportsForNext, standin.SlowLinks, standin.Hang, standin.Deaf, standin.Mute, standin.HeldOrders, standin.Taken, standin.Alone,
 		standin.PeersCut, standin.WorkersCut, standin.ZoneCut, standin.CancelNow}
 	switch t.Kind = kinds[rnd.IntN(len(kinds))]; t.Kind {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -72,6 +72,7 @@
 	refused map[string]int // hosts that are refused alone, with what was refused
 	slow    time.Duration  // that answers take
 	stuck   bool           // watches are answered with nothing, while all else is served
+	noLists bool           // listings are refused
 	listed  int            // items that listings have held
 }
 
@@ -107,6 +108,13 @@
 	s.stuck = on
 }
 
+// RefuseLists answers listings with 429, as over a limit, while all else is served.
+func (s *State) RefuseLists(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noLists = on
+}
+
 // Value reads a key as it stands, whoever is served.
 func (s *State) Value(key string) (wire.Raw, uint64) {
 	s.mu.Lock()
@@ -311,6 +319,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.noLists {
+		reply(w, http.StatusTooManyRequests, wire.Problem{Error: "too many requests"})
+		return
+	}
 	var keys []string
 	for k := range s.items {
 		if strings.HasPrefix(k, prefix) && k > since {
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -26,6 +26,8 @@
 	StateSlow Kind = "state slow"
 	// WatchesStuck: its watches bring nothing, while all else is served.
 	WatchesStuck Kind = "watches stuck"
+	// ListsRefused: it refuses listings, while all else is served.
+	ListsRefused Kind = "lists refused"
 	// LateWrites: that Share of commits (of the nodes, if some are named) gets no answer and is carried out 2 to 12 s later.
 	LateWrites Kind = "late writes"
 	// LostAnswers: that Share of commits (likewise) is carried out at once and gets no answer.
@@ -241,6 +243,11 @@
 		s.State.Stall(true)
 		lasts(ctx, t)
 		s.State.Stall(false)
+	case ListsRefused:
+		s.meet(t.Kind, 1)
+		s.State.RefuseLists(true)
+		lasts(ctx, t)
+		s.State.RefuseLists(false)
 	case LateWrites, LostAnswers:
 		named := map[string]bool{}
 		for _, n := range t.Nodes {
