--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,8 @@
 	parts   int
 	// relaying holds a place for each report that is being relayed.
 	relaying chan struct{}
+	// telling holds a place for each cancellation that an owner is told of.
+	telling chan struct{}
 
 	mu       sync.Mutex
 	types    []wire.MachineType
@@ -57,7 +59,7 @@
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
-		orders:  newOrders(s.Cluster.Limits.MaxSockets), relaying: make(chan struct{}, maxRelays),
+		orders:  newOrders(s.Cluster.Limits.MaxSockets), relaying: make(chan struct{}, maxRelays), telling: make(chan struct{}, maxRelays),
 	}
 	if c.parts == 0 {
 		c.parts = s.Cluster.Count
@@ -353,6 +355,12 @@
 	c.mu.Unlock()
 	c.share()
 	c.cluster.apply(key, must(wire.Marshal(core.OwnerRecord{Node: c.s.Node})), rev, false)
+	if w := c.cluster.snapshotOwner(part); w.stamp > rev {
+		// The hold ran out on the way, and the news of the next owner came before the
+		// answer: nothing would drop the part that was not there yet.
+		c.lose(o, "owned by "+w.node)
+		return
+	}
 	go o.run()
 	for _, p := range c.peers {
 		go func() {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -159,13 +159,12 @@
 }
 
 // direct sends starts and stops without waiting for the next report. What finds no
-// room now goes with a later pass, or in the answer to a report.
+// room now goes with a later pass, or in the answer to a report. Without news only the
+// tasks of cancelled jobs are stopped, which is right whoever owns the part by now.
 func (o *owned) direct() {
-	if o.c.store.SinceContact() >= tuning.Seconds(o.c.t.FreshS) {
-		return
-	}
+	fresh := o.fresh()
 	o.mu.Lock()
-	ids := o.p.Urgent()
+	ids := o.p.Urgent(fresh)
 	o.mu.Unlock()
 	for _, id := range ids {
 		if addr := o.c.addr(id); addr != "" && o.begin(id) {
@@ -178,8 +177,9 @@
 func (o *owned) order(id, addr string) {
 	outcome := core.OrderExecuted
 	defer func() { o.end(id, outcome == core.OrderExecuted) }()
+	fresh := o.fresh()
 	o.mu.Lock()
-	ord, ok := o.p.Orders(id)
+	ord, ok := o.p.Orders(id, fresh)
 	o.mu.Unlock()
 	if !ok {
 		return
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -27,6 +27,7 @@
 
 	mu   sync.Mutex
 	p    *core.Part        // nil until its records are read
+	news time.Time         // every cancellation confirmed before then is known to p
 	last map[string][]byte // summary's records as last written
 	told time.Time
 }
@@ -59,6 +60,7 @@
 		return
 	}
 	go o.followJobs(rev)
+	go o.followMarks()
 	go o.seize()
 	gap := tuning.Seconds(o.c.t.PassGapS)
 	tick := time.NewTicker(tuning.Seconds(o.c.t.TickS))
@@ -100,6 +102,7 @@
 	if err != nil {
 		return 0, err
 	}
+	asked := time.Now()
 	marks, _, err := c.store.List(o.ctx, core.CancelPrefix(o.index))
 	if err != nil {
 		return 0, err
@@ -136,17 +139,71 @@
 		slots = append(slots, core.LoadedSlot{Stamp: it.Stamp, Record: r})
 	}
 	p.Load(all, slots)
-	for _, it := range marks {
-		p.Cancel(it.Key[len(core.CancelPrefix(o.index)):], now)
-	}
+	p.Marked(o.marked(marks), now)
 	o.mu.Lock()
-	o.p = p
+	o.p, o.news = p, asked
 	o.mu.Unlock()
 	slog.Info("part read", "part", o.index, "jobs", p.Jobs(), "machines", len(p.MachineIDs()))
 	o.poke()
 	return rev, nil
 }
 
+// marked names the jobs of a listing of marks.
+func (o *owned) marked(items []wire.Item) []string {
+	ids := make([]string, len(items))
+	for i, it := range items {
+		ids[i] = it.Key[len(core.CancelPrefix(o.index)):]
+	}
+	return ids
+}
+
+// newsAge is how old this node's knowledge of cancellations is: all that were confirmed
+// longer ago are known, whoever confirmed them. Contact would not do: with it back after
+// an outage, or watches open but stuck, a leader that had been refused alone answered its
+// workers' reports without knowing what others had told users meanwhile.
+func (o *owned) newsAge() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Since(o.news)
+}
+
+// fresh tells whether the news are new enough to start tasks.
+func (o *owned) fresh() bool { return o.newsAge() < tuning.Seconds(o.c.t.FreshS) }
+
+// followMarks reads the marks of cancelled jobs again and again. A mark is committed with
+// the cancellation and goes when all of the job is gone, so that a reading shows
+// every cancellation up to when it was asked for.
+func (o *owned) followMarks() {
+	gap := tuning.Seconds(o.c.t.NewsS)
+	for o.ctx.Err() == nil {
+		asked := time.Now()
+		items, _, err := o.c.store.ListAtOnce(o.ctx, core.CancelPrefix(o.index))
+		if err != nil {
+			slog.Debug("marks not read", "part", o.index, "err", err)
+			transport.Pause(o.ctx, gap/4)
+			continue
+		}
+		o.mu.Lock()
+		some := o.p.Marked(o.marked(items), time.Now())
+		o.news = asked
+		o.mu.Unlock()
+		if some {
+			o.poke()
+		}
+		transport.Pause(o.ctx, gap-time.Since(asked))
+	}
+}
+
+// cancelled takes in that a job's cancellation is committed, by word of mouth.
+func (o *owned) cancelled(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.p != nil {
+		o.p.Cancel(id, time.Now())
+		o.poke()
+	}
+}
+
 // followJobs learns of submissions and cancellations.
 func (o *owned) followJobs(rev uint64) {
 	o.watchJobs(rev)
@@ -204,15 +261,13 @@
 			o.p.AddJob(r.Job, time.UnixMilli(r.At), it.Stamp)
 		}
 	}
-	for _, it := range marks {
-		o.p.Cancel(it.Key[len(core.CancelPrefix(o.index)):], time.Now())
-	}
+	o.p.Marked(o.marked(marks), time.Now())
 	return rev, nil
 }
 
 // pass schedules once and commits what came of it.
 func (o *owned) pass() {
-	if o.c.store.SinceContact() < tuning.Seconds(o.c.t.FreshS) {
+	if o.fresh() {
 		o.mu.Lock()
 		o.p.Schedule(time.Now())
 		o.mu.Unlock()
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -282,6 +282,7 @@
 		switch {
 		case err == nil:
 			c.remember(r)
+			c.tellCancelled(r.Part, id)
 			return view(r), nil
 		case errors.As(err, &conflict), errors.Is(err, store.ErrUnknown):
 			continue // read again: it ended, or the answer was lost
@@ -291,6 +292,38 @@
 	}
 }
 
+// tellCancelled lets the part's owner know of a committed cancellation at once. A hint,
+// which spares the job's tasks a second or, where the state service refuses the owner
+// alone, half a minute; nothing relies on it.
+func (c *Controller) tellCancelled(part int, id string) {
+	if o := c.ownedPart(part); o != nil {
+		o.cancelled(id)
+		return
+	}
+	p := c.peers[c.cluster.snapshotOwner(part).node]
+	if p == nil || p.Failing(relayRest) {
+		return
+	}
+	select {
+	case c.telling <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-c.telling }()
+		if err := p.Call("Mesh.Cancelled", mesh.Cancellation{Part: part, Job: id}, &struct{}{}, relayLimit); err != nil {
+			slog.Debug("owner not told of a cancellation", "job", id, "err", err)
+		}
+	}()
+}
+
+// Cancelled is the mesh's hint that a job's cancellation is committed.
+func (c *Controller) Cancelled(n mesh.Cancellation) {
+	if o := c.ownedPart(n.Part); o != nil {
+		o.cancelled(n.Job)
+	}
+}
+
 // Report answers a worker, or names the node that does.
 func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
 	e, known := c.cluster.machine(r.Machine)
@@ -324,8 +357,8 @@
 	// relayFor is how long reports are relayed before the worker is sent to its
 	// owner again, to see whether the way is open.
 	relayFor = 30 * time.Second
-	// maxRelays bounds the reports that are relayed at a time; in a storm the rest is
-	// sent to its owner as if there were no relay.
+	// maxRelays bounds the reports that are relayed at a time, and the cancellations that
+	// are told; in a storm the rest is sent to its owner as if there were no relay.
 	maxRelays = 32
 	// relayRest is how long nothing is relayed to a node that did not answer.
 	relayRest = 2 * time.Second
@@ -387,6 +420,14 @@
 	return a.Reply, err == nil && a.OK
 }
 
+// newsLimit is the age of an owner's news up to which it answers reports. A job that was
+// cancelled just after them goes on for as long as reports are answered, and then for the
+// lease that the last answered one renewed when it was sent.
+func (c *Controller) newsLimit() time.Duration {
+	w := c.s.Cluster.Workers
+	return tuning.Seconds(w.CancelS - w.LeaseS*(1+c.t.Drift) - w.ReportS - c.t.MarginS)
+}
+
 // Relay answers a report as the owner of its machine's part.
 func (c *Controller) Relay(r *wire.Report) (wire.ReportReply, bool) {
 	e, known := c.cluster.machine(r.Machine)
@@ -397,9 +438,8 @@
 	if o == nil {
 		return wire.ReportReply{}, false
 	}
-	w := c.s.Cluster.Workers
-	away := c.store.SinceContact()
-	if away > tuning.Seconds(w.CancelS-w.LeaseS-c.t.MarginS-w.ReportS) {
+	age := o.newsAge()
+	if age > c.newsLimit() {
 		// Cancellations may have been told elsewhere; the leases must run out.
 		return wire.ReportReply{}, false
 	}
@@ -408,10 +448,11 @@
 	if o.p == nil {
 		return wire.ReportReply{}, false
 	}
-	v, reply := o.p.Report(r, time.Now(), away < tuning.Seconds(c.t.FreshS))
+	fresh := age < tuning.Seconds(c.t.FreshS)
+	v, reply := o.p.Report(r, time.Now(), fresh)
 	if v != core.Accepted {
 		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
-		if v == core.Outranked && away > tuning.Seconds(c.t.FreshS) {
+		if v == core.Outranked && !fresh {
 			// Another owner has spoken to it, and nobody else can tell this node: it
 			// must not keep other machines from that owner.
 			go c.lose(o, "a worker has seen a higher token")
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -168,7 +168,9 @@
 		if c.stamp == 0 {
 			continue
 		}
-		if len(b.Txn.Then)+2 > ops {
+		// The first chunk and the mark go together, so that no mark is left behind of
+		// which no owner knows the job.
+		if len(b.Txn.Then)+2 > ops || (i == 0 && b.ended != nil) {
 			return
 		}
 		p.discard(b, c)
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -387,8 +387,9 @@
 	return out
 }
 
-// Urgent lists machines that should hear orders before their next report.
-func (p *Part) Urgent() []string {
+// Urgent lists machines that should hear orders before their next report. fresh: as with
+// Report; without, only stops of cancelled jobs are orders.
+func (p *Part) Urgent(fresh bool) []string {
 	var out []string
 	for _, id := range p.order {
 		m := p.machines[id]
@@ -396,7 +397,7 @@
 			continue
 		}
 		for _, pl := range m.places {
-			if (pl.kill != nil && !pl.kill.told) || (!pl.sent && !m.notice && p.startable(pl)) {
+			if pl.stops(fresh) || (fresh && !pl.sent && !m.notice && p.startable(pl)) {
 				out = append(out, id)
 				break
 			}
@@ -405,6 +406,11 @@
 	return out
 }
 
+// stops tells whether the placement's stop is still to be ordered.
+func (pl *Placement) stops(fresh bool) bool {
+	return pl.kill != nil && !pl.kill.told && (fresh || pl.job.Cancelled)
+}
+
 // startable tells whether a placement's start may leave: only after it is committed.
 func (p *Part) startable(pl *Placement) bool {
 	return !pl.seen && pl.kill == nil && !pl.over && !pl.job.Cancelled &&
@@ -414,7 +420,7 @@
 // Orders gives the starts and stops to send straight to a machine. Until the
 // order is answered nothing else starts or is cleared there: a copy that is held
 // back on the way could start a task once more after it was cleared.
-func (p *Part) Orders(id string) (wire.Orders, bool) {
+func (p *Part) Orders(id string, fresh bool) (wire.Orders, bool) {
 	m := p.machines[id]
 	if m == nil || m.ordering || m.doubt || !m.acked {
 		return wire.Orders{}, false
@@ -426,10 +432,10 @@
 		}
 		pl := m.places[k]
 		switch {
-		case pl.kill != nil && !pl.kill.told:
+		case pl.stops(fresh):
 			pl.kill.told = true
 			o.Commands = append(o.Commands, wire.Command{Op: wire.Stop, Task: k.task, Attempt: k.try, Grace: pl.kill.grace})
-		case !pl.sent && !m.notice && p.startable(pl):
+		case fresh && !pl.sent && !m.notice && p.startable(pl):
 			// A start sent in the answer to a report is repeated only there.
 			pl.sent, pl.sentSeq, pl.direct = true, m.reported, m.token
 			o.Commands = append(o.Commands, wire.Command{Op: wire.Start, Task: k.task, Attempt: k.try})
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -259,6 +259,7 @@
 	ending []*Job
 	order  []string        // machine names, sorted
 	roomy  []*Machine      // those that could take work when the pass began
+	marks  map[string]bool // jobs marked as cancelled, by the last listing
 	over   map[string]bool // jobs that ended here, so that a late word of their submission does not revive them
 	// The journal: the last number given out, the stamps of its keys, the chunks
 	// with changes to record and those whose records lack some of it.
@@ -314,7 +315,7 @@
 	if p.over[d.ID] {
 		return nil
 	}
-	j := &Job{Job: d, At: at, Stamp: stamp, tasks: make([]taskState, d.Tasks), waiting: d.Tasks,
+	j := &Job{Job: d, At: at, Stamp: stamp, Cancelled: p.marks[d.ID], tasks: make([]taskState, d.Tasks), waiting: d.Tasks,
 		placed: map[int]*Placement{}, noRoom: -1}
 	for from := 0; from < d.Tasks; from += p.perChunk {
 		j.chunks = append(j.chunks, &chunk{job: j, index: len(j.chunks), from: from, to: min(from+p.perChunk, d.Tasks)})
@@ -472,6 +473,20 @@
 	}
 }
 
+// Marked takes in a listing of the jobs that are marked as cancelled, and tells whether
+// one of them was news. A job that is marked before its submission is known, as when
+// the watch is behind, is cancelled from the start.
+func (p *Part) Marked(ids []string, now time.Time) bool {
+	some := false
+	p.marks = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		p.marks[id] = true
+		some = some || (p.jobs[id] != nil && !p.jobs[id].Cancelled)
+		p.Cancel(id, now)
+	}
+	return some
+}
+
 // Cancel stops a job whose cancellation is committed.
 func (p *Part) Cancel(id string, now time.Time) {
 	j := p.jobs[id]
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,6 +24,12 @@
 	Node  string
 }
 
+// Cancellation says that a job's cancellation is committed.
+type Cancellation struct {
+	Part int
+	Job  string
+}
+
 // Query asks for a job's counts, or just whether the node is there.
 type Query struct{ Job string }
 
@@ -44,6 +50,7 @@
 // Handler takes in what others tell.
 type Handler interface {
 	Claimed(Claim)
+	Cancelled(Cancellation)
 	View(job string) (done, running int, ok bool)
 	Contact() time.Duration
 	// Relay answers a report that reached another node.
@@ -59,6 +66,12 @@
 	return nil
 }
 
+// Cancelled is called by a node that has confirmed a cancellation to a user.
+func (s *Service) Cancelled(c Cancellation, _ *struct{}) error {
+	s.h.Cancelled(c)
+	return nil
+}
+
 // View is called for a job's counts.
 func (s *Service) View(q Query, a *Answer) error {
 	if q.Job != "" {
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -40,9 +40,13 @@
 
 type conn struct {
 	net.Conn
-	a, b *Host
+	a, b   *Host
+	remote string // host at the other end
 }
 
+// RemoteAddr names the host at the other end.
+func (c *conn) RemoteAddr() net.Addr { return addr(c.remote) }
+
 var errRefused = errors.New("connection refused")
 
 // Host adds a machine to the network.
@@ -122,7 +126,7 @@
 		return nil, ctx.Err()
 	}
 	x, y := net.Pipe()
-	cx, cy := &conn{x, h, l.host}, &conn{y, h, l.host}
+	cx, cy := &conn{x, h, l.host, l.host.name}, &conn{y, h, l.host, h.name}
 	for _, c := range []*conn{cx, cy} {
 		h.conns[c], l.host.conns[c] = true, true
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -56,7 +56,7 @@
 	watch   *http.Client
 	reads   *rate.Limiter
 	writes  *rate.Limiter
-	contact atomic.Int64 // nanoseconds since start of the last answer
+	contact atomic.Int64 // when the newest answered request was sent, in nanoseconds since start
 	rev     atomic.Uint64
 
 	mu    sync.Mutex
@@ -87,7 +87,9 @@
 	}
 }
 
-// SinceContact is the time since the service last served this node.
+// SinceContact is the age of the newest request that the service has served. An answer
+// says nothing of what came after its request, and one to a watch may be seconds late: it
+// stays open through an outage, and ends in the midst of it.
 func (c *Client) SinceContact() time.Duration {
 	return time.Since(c.start) - time.Duration(c.contact.Load())
 }
@@ -105,7 +107,19 @@
 	c.mu.Unlock()
 }
 
+// served notes that a request that was sent at the given time has been served.
+func (c *Client) served(sent time.Time) {
+	at := int64(sent.Sub(c.start))
+	for {
+		old := c.contact.Load()
+		if at <= old || c.contact.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
 func (c *Client) do(ctx context.Context, cl *http.Client, method, path string, body, out any) error {
+	sent := time.Now()
 	resp, err := transport.Send(ctx, cl, method, c.base+path, body)
 	if err != nil {
 		c.count(&c.calls.unknown)
@@ -118,8 +132,10 @@
 		transport.Discard(resp)
 		return fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	}
-	// Any other answer shows that the service serves this node.
-	c.contact.Store(int64(time.Since(c.start)))
+	// Any other answer shows that the service serves this node, or did so when it was asked.
+	if cl != c.watch {
+		c.served(sent)
+	}
 	c.count(&c.calls.ok)
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -180,11 +196,21 @@
 // List reads all keys with a prefix. The revision is that of the first page: a
 // watch from there misses nothing.
 func (c *Client) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	return c.list(ctx, prefix, c.reads)
+}
+
+// ListAtOnce is List without the budget, for the few reads that must not wait behind
+// users' questions.
+func (c *Client) ListAtOnce(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	return c.list(ctx, prefix, rate.NewLimiter(rate.Inf, 0))
+}
+
+func (c *Client) list(ctx context.Context, prefix string, budget *rate.Limiter) ([]wire.Item, uint64, error) {
 	var all []wire.Item
 	var rev uint64
 	since := ""
 	for {
-		if err := c.wait(ctx, c.reads, 1); err != nil {
+		if err := c.wait(ctx, budget, 1); err != nil {
 			return nil, 0, err
 		}
 		var p wire.Page
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -18,9 +18,13 @@
 	// StateTimeoutS: seconds until a request to the state service counts as
 	// unanswered. Answers mostly take 10 ms and now and then some hundreds.
 	StateTimeoutS float64
-	// FreshS: seconds since the last answer of the state service for which an
-	// owner still starts tasks.
+	// FreshS: age in seconds of an owner's news up to which it still starts tasks, and
+	// of the newest request that was served up to which a node takes users' requests.
 	FreshS float64
+	// NewsS: seconds between two readings of the marks of cancelled jobs, whose age
+	// decides whether reports may still be answered; a third of FreshS, so that one
+	// slow answer does not stop the starts.
+	NewsS float64
 	// MarginS: seconds kept in hand wherever a worker's lease is waited for.
 	MarginS float64
 	// Drift: share by which clocks of two machines may drift apart (0.05%
@@ -114,7 +118,7 @@
 // Default returns the values that ambersill starts with.
 func Default() Tuning {
 	return Tuning{
-		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, MarginS: 1, Drift: 0.001,
+		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, NewsS: 1, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
 		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 180, OverdueS: 180, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
