All nodes take workers' reports and forward them to the owner in batches

Now machines are spread over the live nodes by rendezvous hashing, the owner apart where two others live. A node gathers reports for 50 ms and forwards them in one call; the owner decides on each one exactly as before, so tokens, leases, sessions and the order of reports are fenced as they were. A worker that has come to a node stays 30 s before it is sent on, and again if it is back within a lease. If the owner is not reached the worker is sent there itself.

Also: a call between nodes that is late fails alone (it took the connection and all other calls with it); forwarded reports tell the owner the machine's address; a spot notice of zero survives gob.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,8 +33,8 @@
 	cluster *cluster
 	peers   map[string]*mesh.Peer
 	parts   int
-	// relaying holds a place for each report that is being relayed.
-	relaying chan struct{}
+	// forwarders pass workers' reports on, by the node that they go to.
+	forwarders map[string]*forwarder
 	// telling holds a place for each cancellation that an owner is told of.
 	telling chan struct{}
 
@@ -46,7 +46,7 @@
 	leading  bool
 	finals   map[string]core.JobRecord
 	addrs    map[string]string // where machines can be reached, by their reports or the list
-	bounces  map[string]bounce // workers that report here but belong to others, by machine
+	visits   map[string]visit  // workers that report here but are assigned to other nodes, by machine
 	restPart map[int]time.Time // parts not to be claimed again at once
 }
 
@@ -55,17 +55,18 @@
 	st := s.Cluster.State
 	c := &Controller{
 		s: s, t: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, parts: t.Parts,
-		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, bounces: map[string]bounce{}, restPart: map[int]time.Time{},
+		owned: map[int]*owned{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, visits: map[string]visit{}, forwarders: map[string]*forwarder{}, restPart: map[int]time.Time{},
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		workers: worker.New(n, tuning.Seconds(s.Cluster.Workers.ReportS)),
-		orders:  newOrders(s.Cluster.Limits.MaxSockets), relaying: make(chan struct{}, maxRelays), telling: make(chan struct{}, maxRelays),
+		orders:  newOrders(s.Cluster.Limits.MaxSockets), telling: make(chan struct{}, maxTellings),
 	}
 	if c.parts == 0 {
 		c.parts = s.Cluster.Count
 	}
 	for _, m := range s.Members {
 		c.peers[m.Node] = &mesh.Peer{Member: m, Net: n}
+		c.forwarders[m.Node] = newForwarder(&mesh.Peer{Member: m, Net: n})
 	}
 	c.cluster.onChange = c.machineChanged
 	c.cluster.onOwner = c.ownerChanged
@@ -89,6 +90,10 @@
 		}()
 	}
 	slog.Info("starting", "node", c.s.Node, "parts", c.parts, "public_sockets", c.publicSockets(), "orders", c.orders.most)
+	for _, f := range c.forwarders {
+		f.done = ctx.Done()
+		duty("forwarding of reports", f.run)
+	}
 	duty("users and workers", c.serve)
 	duty("mesh", func(ctx context.Context) error { return mesh.Serve(ctx, c.net, c.s.MeshAddr, c) })
 	duty("cluster watch", func(ctx context.Context) error {
@@ -462,7 +467,7 @@
 	all := c.ownedParts()
 	if gone {
 		delete(c.addrs, id)
-		delete(c.bounces, id)
+		delete(c.visits, id)
 		c.orders.forget(id)
 	}
 	c.mu.Unlock()
--- /dev/null
+++ b/internal/controller/forward.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"ambersill/internal/mesh"
+	"ambersill/internal/transport"
+	"ambersill/internal/wire"
+)
+
+const (
+	// forwardGap is how long reports are gathered before they are forwarded together. It
+	// is little beside the seconds between two reports, and makes one call of several.
+	forwardGap = 50 * time.Millisecond
+	// forwardLimit bounds the call that forwards reports; workers wait 4 s.
+	forwardLimit = 1500 * time.Millisecond
+	// maxForwarded bounds the reports that wait to be forwarded to a node, and those of
+	// one call. With more than that the worker is sent to the owner itself.
+	maxForwarded = 256
+)
+
+// forwarder passes workers' reports on to one other node, in batches.
+type forwarder struct {
+	// peer is a connection of its own, which no other call can hold up.
+	peer  *mesh.Peer
+	queue chan forwarded
+	done  <-chan struct{}
+}
+
+// forwarded is a report on its way; its answer is sent once.
+type forwarded struct {
+	report *wire.Report
+	answer chan forwardAnswer
+}
+
+type forwardAnswer struct {
+	reply   mesh.WorkerReply
+	reached bool // the peer has answered
+}
+
+func newForwarder(peer *mesh.Peer) *forwarder {
+	return &forwarder{peer: peer, queue: make(chan forwarded, maxForwarded), done: make(chan struct{})}
+}
+
+// forward has the peer answer a report; reached is false if it did not, or if too many
+// reports wait.
+func (f *forwarder) forward(r *wire.Report) (reply mesh.WorkerReply, reached bool) {
+	if f.peer.Failing(peerRest) {
+		return mesh.WorkerReply{}, false
+	}
+	item := forwarded{report: r, answer: make(chan forwardAnswer, 1)}
+	select {
+	case f.queue <- item:
+	default:
+		return mesh.WorkerReply{}, false
+	}
+	select {
+	case a := <-item.answer:
+		return a.reply, a.reached
+	case <-f.done:
+		return mesh.WorkerReply{}, false
+	}
+}
+
+// run forwards what is queued until the context ends.
+func (f *forwarder) run(ctx context.Context) error {
+	for {
+		var first forwarded
+		select {
+		case <-ctx.Done():
+			return nil
+		case first = <-f.queue:
+		}
+		transport.Pause(ctx, forwardGap)
+		f.send(f.gather(first))
+	}
+}
+
+// gather takes what is queued behind a first report, up to the bound of a call.
+func (f *forwarder) gather(first forwarded) []forwarded {
+	batch := []forwarded{first}
+	for len(batch) < maxForwarded {
+		select {
+		case item := <-f.queue:
+			batch = append(batch, item)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// send makes the call for a batch, and hands out the answers.
+func (f *forwarder) send(batch []forwarded) {
+	var out mesh.BatchReply
+	reached := false
+	if !f.peer.Failing(peerRest) {
+		args := mesh.ReportBatch{Reports: make([]mesh.WorkerReport, len(batch))}
+		for i, item := range batch {
+			args.Reports[i] = mesh.NewWorkerReport(item.report)
+		}
+		err := f.peer.Call("Mesh.Reports", args, &out, forwardLimit)
+		reached = err == nil && len(out.Replies) == len(batch)
+		if err != nil {
+			slog.Debug("reports not forwarded", "node", f.peer.Node, "count", len(batch), "err", err)
+		}
+	}
+	for i, item := range batch {
+		a := forwardAnswer{reached: reached}
+		if reached {
+			a.reply = out.Replies[i]
+		}
+		item.answer <- a
+	}
+}
--- /dev/null
+++ b/internal/controller/report.go
@@ -0,0 +1,165 @@
+package controller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"log/slog"
+	"time"
+
+	"ambersill/internal/core"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// Workers report to any node. A node that does not own the machine's partition forwards
+// the report to the owner, many at a time, and hands the owner's answer back: reading
+// requests takes most of what a report costs, and the owner alone was overloaded by it
+// on small processors. Machines are spread over the nodes by a hash of their names.
+
+const (
+	// stayFor is how long a worker that has come to a node reports there before it is
+	// sent to the node it is assigned to. It may have come because it cannot reach that
+	// one, and have lost most of its lease on the way.
+	stayFor = 30 * time.Second
+	// peerRest is how long nothing is forwarded to a node that did not answer.
+	peerRest = 2 * time.Second
+)
+
+// visit is the state of a worker that reports to a node it is not assigned to.
+type visit struct {
+	last  time.Time // its newest report here
+	until time.Time // it may stay until then
+	sent  bool      // it was sent to its assigned node then
+}
+
+// Report answers a worker, or names the node to which it should report.
+func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
+	entry, known := c.cluster.machine(r.Machine)
+	if !known {
+		// Not rented yet as far as is known here, or returned: a late copy of a report
+		// must not bring its address back.
+		return wire.ReportReply{}, "", false
+	}
+	owner := c.cluster.snapshotOwner(entry.rec.Part).node
+	if node := c.assignedNode(r.Machine, owner); node != c.s.Node && c.endsVisit(r.Machine, time.Now()) {
+		return wire.ReportReply{}, node, false
+	}
+	if c.ownedPart(entry.rec.Part) != nil {
+		reply, ok := c.OwnedReport(r)
+		return reply, "", ok
+	}
+	f := c.forwarders[owner]
+	if f == nil {
+		return wire.ReportReply{}, "", false
+	}
+	answer, reached := f.forward(r)
+	switch {
+	case !reached:
+		// The way to the owner may be open for the worker itself.
+		return wire.ReportReply{}, owner, false
+	case !answer.Accepted:
+		return wire.ReportReply{}, "", false
+	}
+	return answer.Reply, "", true
+}
+
+// assignedNode is the node to which a machine's worker is to report: one of the live
+// nodes by rendezvous hashing, so that a node that ends moves its own machines only. The
+// owner has passes and commits to do besides, and takes part only where it must.
+func (c *Controller) assignedNode(machine, owner string) string {
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	others := len(c.cluster.nodes)
+	if _, live := c.cluster.nodes[owner]; live {
+		others--
+	}
+	best, highest := "", uint64(0)
+	for node := range c.cluster.nodes {
+		if node == owner && others >= leastForwarders {
+			continue
+		}
+		if rank := rendezvousRank(machine, node); best == "" || rank > highest || (rank == highest && node < best) {
+			best, highest = node, rank
+		}
+	}
+	if best == "" {
+		return owner
+	}
+	return best
+}
+
+// leastForwarders is how many other nodes must live for the owner to be spared reports.
+const leastForwarders = 2
+
+// rendezvousRank orders the nodes for a machine, the same on every node.
+func rendezvousRank(machine, node string) uint64 {
+	sum := sha256.Sum256([]byte(machine + "/" + node))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+// endsVisit tells whether a worker that reports here, but is assigned to another node, is
+// to go there now. One that is back within a lease cannot reach that node, and may stay
+// anew, as when a cut lies between the two but not between the nodes.
+func (c *Controller) endsVisit(machine string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.visits[machine]
+	ends := false
+	switch {
+	case now.Sub(v.last) > tuning.Seconds(c.s.Cluster.Workers.LeaseS), v.sent:
+		v = visit{until: now.Add(stayFor)}
+	case !now.Before(v.until):
+		v.sent, ends = true, true
+	}
+	v.last = now
+	c.visits[machine] = v
+	return ends
+}
+
+// newsLimit is the age of an owner's news up to which it answers reports. A job that was
+// cancelled just after them goes on for as long as reports are answered, and then for the
+// lease that the last answered one renewed when it was sent.
+func (c *Controller) newsLimit() time.Duration {
+	w := c.s.Cluster.Workers
+	return tuning.Seconds(w.CancelS - w.LeaseS*(1+c.t.Drift) - w.ReportS - c.t.MarginS)
+}
+
+// OwnedReport answers a report as the owner of its machine's partition.
+func (c *Controller) OwnedReport(r *wire.Report) (wire.ReportReply, bool) {
+	e, known := c.cluster.machine(r.Machine)
+	if !known {
+		return wire.ReportReply{}, false
+	}
+	o := c.ownedPart(e.rec.Part)
+	if o == nil {
+		return wire.ReportReply{}, false
+	}
+	c.learn(r.Machine, r.Addr)
+	age := o.newsAge()
+	if age > c.newsLimit() {
+		// Cancellations may have been told elsewhere; the leases must run out.
+		return wire.ReportReply{}, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.p == nil {
+		return wire.ReportReply{}, false
+	}
+	fresh := age < tuning.Seconds(c.t.FreshS)
+	v, reply := o.p.Report(r, time.Now(), fresh)
+	if v != core.Accepted {
+		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
+		if v == core.Outranked && !fresh {
+			// Another owner has spoken to it, and nobody else can tell this node: it
+			// must not keep other machines from that owner.
+			go c.lose(o, "a worker has seen a higher token")
+		}
+		return reply, false
+	}
+	c.orders.heard(r.Machine)
+	// Most reports change nothing, and on a small processor a pass for each is dear.
+	if o.p.Stirred() {
+		o.poke()
+	}
+	return reply, true
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -292,6 +292,9 @@
 	}
 }
 
+// maxTellings bounds the cancellations that owners are told of at a time.
+const maxTellings = 32
+
 // tellCancelled lets the part's owner know of a committed cancellation at once. A hint,
 // which spares the job's tasks a second or, where the state service refuses the owner
 // alone, half a minute; nothing relies on it.
@@ -301,7 +304,7 @@
 		return
 	}
 	p := c.peers[c.cluster.snapshotOwner(part).node]
-	if p == nil || p.Failing(relayRest) {
+	if p == nil || p.Failing(peerRest) {
 		return
 	}
 	select {
@@ -311,7 +314,7 @@
 	}
 	go func() {
 		defer func() { <-c.telling }()
-		if err := p.Call("Mesh.Cancelled", mesh.Cancellation{Part: part, Job: id}, &struct{}{}, relayLimit); err != nil {
+		if err := p.Call("Mesh.Cancelled", mesh.Cancellation{Part: part, Job: id}, &struct{}{}, forwardLimit); err != nil {
 			slog.Debug("owner not told of a cancellation", "job", id, "err", err)
 		}
 	}()
@@ -323,146 +326,3 @@
 		o.cancelled(n.Job)
 	}
 }
-
-// Report answers a worker, or names the node that does.
-func (c *Controller) Report(r *wire.Report) (wire.ReportReply, string, bool) {
-	e, known := c.cluster.machine(r.Machine)
-	if !known {
-		// Not rented yet as far as is known here, or returned: a late copy of a report
-		// must not bring its address back.
-		return wire.ReportReply{}, "", false
-	}
-	c.learn(r.Machine, r.Addr)
-	if c.ownedPart(e.rec.Part) != nil {
-		reply, ok := c.Relay(r)
-		return reply, "", ok
-	}
-	n := c.cluster.snapshotOwner(e.rec.Part).node
-	p := c.peers[n]
-	if p == nil {
-		return wire.ReportReply{}, "", false
-	}
-	if c.relays(r.Machine, n, time.Now()) {
-		if reply, ok := c.relay(p, r); ok {
-			return reply, "", true
-		}
-		c.redirected(r.Machine)
-	}
-	return wire.ReportReply{}, n, false
-}
-
-const (
-	// relayLimit bounds a relayed report; workers wait 4 s.
-	relayLimit = 1500 * time.Millisecond
-	// relayFor is how long reports are relayed before the worker is sent to its
-	// owner again, to see whether the way is open.
-	relayFor = 30 * time.Second
-	// maxRelays bounds the reports that are relayed at a time, and the cancellations that
-	// are told; in a storm the rest is sent to its owner as if there were no relay.
-	maxRelays = 32
-	// relayRest is how long nothing is relayed to a node that did not answer.
-	relayRest = 2 * time.Second
-)
-
-// bounce is where a worker stands that reports here, though another node owns its part.
-type bounce struct {
-	node  string    // its owner
-	at    time.Time // its last report here
-	until time.Time // its reports are relayed until then
-	sent  bool      // it was sent to its owner then
-}
-
-// relays tells whether to pass a report on to the owner rather than to send the worker
-// there. The first one is passed on: with some nodes behind cuts a worker may have lost
-// most of its lease on the way here, and the way to its owner may be cut as well. The
-// next ones send it there, and if it is back within a lease it cannot reach its owner,
-// as when a cut lies between the two but not between the nodes.
-func (c *Controller) relays(machine, node string, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	b := c.bounces[machine]
-	relay := true
-	switch {
-	case b.node != node || now.Sub(b.at) > tuning.Seconds(c.s.Cluster.Workers.LeaseS):
-		b = bounce{node: node, until: now}
-	case b.sent:
-		b.sent, b.until = false, now.Add(relayFor)
-	case !now.Before(b.until):
-		b.sent, relay = true, false
-	}
-	b.at = now
-	c.bounces[machine] = b
-	return relay
-}
-
-// redirected notes that a worker was sent to its owner after all.
-func (c *Controller) redirected(machine string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	b := c.bounces[machine]
-	b.sent = true
-	c.bounces[machine] = b
-}
-
-// relay passes a report on.
-func (c *Controller) relay(p *mesh.Peer, r *wire.Report) (wire.ReportReply, bool) {
-	if p.Failing(relayRest) {
-		return wire.ReportReply{}, false
-	}
-	select {
-	case c.relaying <- struct{}{}:
-		defer func() { <-c.relaying }()
-	default:
-		return wire.ReportReply{}, false
-	}
-	var a mesh.Relayed
-	err := p.Call("Mesh.Report", *r, &a, relayLimit)
-	return a.Reply, err == nil && a.OK
-}
-
-// newsLimit is the age of an owner's news up to which it answers reports. A job that was
-// cancelled just after them goes on for as long as reports are answered, and then for the
-// lease that the last answered one renewed when it was sent.
-func (c *Controller) newsLimit() time.Duration {
-	w := c.s.Cluster.Workers
-	return tuning.Seconds(w.CancelS - w.LeaseS*(1+c.t.Drift) - w.ReportS - c.t.MarginS)
-}
-
-// Relay answers a report as the owner of its machine's part.
-func (c *Controller) Relay(r *wire.Report) (wire.ReportReply, bool) {
-	e, known := c.cluster.machine(r.Machine)
-	if !known {
-		return wire.ReportReply{}, false
-	}
-	o := c.ownedPart(e.rec.Part)
-	if o == nil {
-		return wire.ReportReply{}, false
-	}
-	age := o.newsAge()
-	if age > c.newsLimit() {
-		// Cancellations may have been told elsewhere; the leases must run out.
-		return wire.ReportReply{}, false
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.p == nil {
-		return wire.ReportReply{}, false
-	}
-	fresh := age < tuning.Seconds(c.t.FreshS)
-	v, reply := o.p.Report(r, time.Now(), fresh)
-	if v != core.Accepted {
-		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
-		if v == core.Outranked && !fresh {
-			// Another owner has spoken to it, and nobody else can tell this node: it
-			// must not keep other machines from that owner.
-			go c.lose(o, "a worker has seen a higher token")
-		}
-		return reply, false
-	}
-	c.orders.heard(r.Machine)
-	// Most reports change nothing, and on a small processor a pass for each is dear.
-	if o.p.Stirred() {
-		o.poke()
-	}
-	return reply, true
-}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,10 +7,8 @@
 	"errors"
 	"net"
 	"net/rpc"
-	"sync"
 	"time"
 
-	"ambersill/internal/config"
 	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 
@@ -41,10 +39,38 @@
 	Contact float64
 }
 
-// Relayed is the answer to a worker's report that another node passed on.
-type Relayed struct {
-	OK    bool
-	Reply wire.ReportReply
+// WorkerReport is a worker's report on its way to the owner of its machine.
+type WorkerReport struct {
+	Report wire.Report
+	// Notice repeats that the report carries a spot notice: gob drops a pointer to
+	// zero, which is what a notice counts down to.
+	Notice bool
+}
+
+// ReportBatch holds reports in the order in which they reached the sending node.
+type ReportBatch struct{ Reports []WorkerReport }
+
+// WorkerReply answers one report of a batch; without Accepted it must not be answered
+// with success.
+type WorkerReply struct {
+	Accepted bool
+	Reply    wire.ReportReply
+}
+
+// BatchReply answers a batch, in the order of its reports.
+type BatchReply struct{ Replies []WorkerReply }
+
+// NewWorkerReport prepares a report for a batch.
+func NewWorkerReport(r *wire.Report) WorkerReport {
+	return WorkerReport{Report: *r, Notice: r.Notice != nil}
+}
+
+// restore undoes what the encoding loses.
+func (w *WorkerReport) restore() *wire.Report {
+	if w.Notice && w.Report.Notice == nil {
+		w.Report.Notice = new(float64)
+	}
+	return &w.Report
 }
 
 // Handler takes in what others tell.
@@ -53,8 +79,8 @@
 	Cancelled(Cancellation)
 	View(job string) (done, running int, ok bool)
 	Contact() time.Duration
-	// Relay answers a report that reached another node.
-	Relay(r *wire.Report) (wire.ReportReply, bool)
+	// OwnedReport answers a report that reached another node.
+	OwnedReport(r *wire.Report) (wire.ReportReply, bool)
 }
 
 // Service is the RPC face of a Handler.
@@ -81,9 +107,12 @@
 	return nil
 }
 
-// Report is called with a worker's report that its worker cannot bring itself.
-func (s *Service) Report(r wire.Report, a *Relayed) error {
-	a.Reply, a.OK = s.h.Relay(&r)
+// Reports is called with workers' reports that reached another node.
+func (s *Service) Reports(batch ReportBatch, a *BatchReply) error {
+	a.Replies = make([]WorkerReply, len(batch.Reports))
+	for i := range batch.Reports {
+		a.Replies[i].Reply, a.Replies[i].Accepted = s.h.OwnedReport(batch.Reports[i].restore())
+	}
 	return nil
 }
 
@@ -121,80 +150,3 @@
 		}()
 	}
 }
-
-// Peer is a connection to another node, made when needed.
-type Peer struct {
-	config.Member
-	Net transport.Net
-	mu  sync.Mutex
-	c   *rpc.Client
-	// failed is when a call last failed, with none answered since.
-	failed time.Time
-}
-
-var errTimeout = errors.New("mesh: no answer in time")
-
-// Failing tells whether a call has failed within the given time, with none answered since.
-func (p *Peer) Failing(within time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.failed.IsZero() && time.Since(p.failed) < within
-}
-
-// Call asks the peer; a connection that fails is dropped, and made anew next time.
-func (p *Peer) Call(method string, args, reply any, limit time.Duration) error {
-	err := p.call(method, args, reply, limit)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.failed = time.Time{}
-	if err != nil {
-		p.failed = time.Now()
-	}
-	return err
-}
-
-func (p *Peer) call(method string, args, reply any, limit time.Duration) error {
-	p.mu.Lock()
-	c := p.c
-	p.mu.Unlock()
-	if c == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
-		conn, err := p.Net.Dial(ctx, p.Addr)
-		cancel()
-		if err != nil {
-			return err
-		}
-		c = rpc.NewClient(conn)
-		p.mu.Lock()
-		if p.c != nil {
-			c.Close()
-			c = p.c
-		} else {
-			p.c = c
-		}
-		p.mu.Unlock()
-	}
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error == nil {
-			return nil
-		}
-		p.drop(c)
-		return call.Error
-	case <-t.C:
-		p.drop(c)
-		return errTimeout
-	}
-}
-
-func (p *Peer) drop(c *rpc.Client) {
-	p.mu.Lock()
-	if p.c == c {
-		p.c = nil
-	}
-	p.mu.Unlock()
-	c.Close()
-}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,125 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/transport"
+	"ambersill/internal/wire"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// ownerStub accepts every report but those of one machine, and answers views late while
+// it is busy.
+type ownerStub struct {
+	got  []wire.Report
+	busy atomic.Int64 // nanoseconds that a view takes
+}
+
+func (*ownerStub) Claimed(Claim)          {}
+func (*ownerStub) Cancelled(Cancellation) {}
+func (*ownerStub) Contact() time.Duration { return 0 }
+func (o *ownerStub) View(string) (int, int, bool) {
+	time.Sleep(time.Duration(o.busy.Load()))
+	return 1, 2, true
+}
+
+func (o *ownerStub) OwnedReport(r *wire.Report) (wire.ReportReply, bool) {
+	o.got = append(o.got, *r)
+	return wire.ReportReply{Token: r.Token, Commands: []wire.Command{{Op: wire.Start, Task: "req-000001/0", Attempt: r.Seq}}}, r.Machine != "refused"
+}
+
+// countingNet counts the connections that are made.
+type countingNet struct {
+	transport.TCP
+	dials atomic.Int64
+}
+
+func (n *countingNet) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n.dials.Add(1)
+	return n.TCP.Dial(ctx, addr)
+}
+
+func connect(t *testing.T, h Handler) (*Peer, *countingNet) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		if err := Serve(ctx, transport.TCP{}, addr, h); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-over })
+	n := &countingNet{}
+	p := &Peer{Member: config.Member{Node: "owner", Addr: addr}, Net: n}
+	for p.Call("Mesh.View", Query{}, &Answer{}, time.Second) != nil { // until it listens
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.dials.Store(0)
+	return p, n
+}
+
+// A report must reach the owner as its worker sent it, whatever the encoding leaves out:
+// a spot notice that has counted down to zero was once lost on the way.
+func TestReportsArriveAsSent(t *testing.T) {
+	owner := &ownerStub{}
+	p, _ := connect(t, owner)
+	zero, some := 0.0, 7.5
+	sent := []wire.Report{
+		{Machine: "m-1", Session: 1, Seq: 3, Token: 9, Notice: &zero},
+		{Machine: "refused", Session: 2, Seq: 1, Notice: &some},
+		{Machine: "m-2", Addr: "10.1.0.1:9000", Type: "big", Zone: "a", Spot: true, Session: 1, Seq: 8, Token: 9,
+			Tasks: []wire.TaskReport{{Task: "req-000001/0", Attempt: 4, State: wire.Exited, Cause: wire.CauseStopped, Saved: true}}},
+	}
+	var batch ReportBatch
+	for i := range sent {
+		batch.Reports = append(batch.Reports, NewWorkerReport(&sent[i]))
+	}
+	var got BatchReply
+	if err := p.Call("Mesh.Reports", batch, &got, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(sent, owner.got); d != "" {
+		t.Errorf("reports changed on the way:\n%s", d)
+	}
+	for i, r := range got.Replies {
+		if r.Accepted != (sent[i].Machine != "refused") || r.Reply.Token != sent[i].Token || r.Reply.Commands[0].Attempt != sent[i].Seq {
+			t.Errorf("reply %d is %+v", i, r)
+		}
+	}
+}
+
+// A call that a busy peer answers late fails alone: the connection was once dropped with
+// it, which failed all calls under way and had the peer accept another one.
+func TestLateAnswerKeepsTheConnection(t *testing.T) {
+	owner := &ownerStub{}
+	p, n := connect(t, owner)
+	owner.busy.Store(int64(300 * time.Millisecond))
+	if err := p.Call("Mesh.View", Query{Job: "req-000001"}, &Answer{}, 50*time.Millisecond); err == nil {
+		t.Fatal("the call was not late")
+	}
+	if !p.Failing(time.Minute) {
+		t.Error("the late call left no trace")
+	}
+	var a Answer
+	if err := p.Call("Mesh.View", Query{Job: "req-000001"}, &a, 10*time.Second); err != nil || a.Running != 2 {
+		t.Errorf("the next call: %+v, %v", a, err)
+	}
+	if n.dials.Load() != 0 {
+		t.Errorf("connected anew %d times", n.dials.Load())
+	}
+	if p.Failing(time.Minute) {
+		t.Error("failing although the last call was answered")
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -124,6 +124,13 @@
 	return w.starts
 }
 
+// ReportsTo names the node that a worker reports to.
+func (w *World) ReportsTo(k *Worker) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Nodes[k.node%len(w.Nodes)].Name
+}
+
 // Repeats counts the attempts that began more than once, which only a start that was
 // carried out again after the attempt was cleared can bring about.
 func (w *World) Repeats() int {
