--- a/internal/controller/rough_test.go
+++ b/internal/controller/rough_test.go
@@ -24,13 +24,15 @@
 	t.Nodes = [][]int{{standin.Owner}, {standin.Owner}, {standin.Others}, {rnd.IntN(3)}, {0, 1, 2}}[rnd.IntN(5)]
 	kinds := []standin.Kind{standin.Crash, standin.StateRefuses, standin.StateOut, standin.StateSlow, standin.WatchesStuck, standin.ListsRefused, standin.LateWrites, standin.LostAnswers,
 		standin.LateReports, standin.ReportsForNext, standin.SlowLinks, standin.Hang, standin.Deaf, standin.Mute, standin.HeldOrders, standin.Taken, standin.Alone,
-		standin.PeersCut, standin.WorkersCut, standin.ZoneCut, standin.CancelNow}
+		standin.PeersCut, standin.WorkersCut, standin.ZoneCut, standin.CancelNow, standin.SlowProcessor, standin.StandsStill}
 	switch t.Kind = kinds[rnd.IntN(len(kinds))]; t.Kind {
 	case standin.Crash: // back within a fraction of a second, too
 		t.Wait = []time.Duration{time.Duration(20+rnd.IntN(300)) * time.Millisecond, secs(1, 5), secs(5, 20)}[rnd.IntN(3)]
 	case standin.StateSlow, standin.SlowLinks:
 		t.Wait = time.Duration(10+rnd.IntN(400)) * time.Millisecond
-	case standin.StateOut, standin.StateRefuses, standin.Alone:
+	case standin.SlowProcessor:
+		t.Wait = time.Duration(5+rnd.IntN(60)) * time.Millisecond
+	case standin.StateOut, standin.StateRefuses, standin.Alone, standin.StandsStill:
 		t.For = secs(3, 25) // users give a submission up after a minute
 	case standin.Taken, standin.Hang, standin.Deaf, standin.Mute, standin.HeldOrders:
 		if rnd.IntN(2) == 0 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -146,7 +146,7 @@
 		}
 		go func() {
 			defer context.AfterFunc(ctx, func() { c.Close() })()
-			srv.ServeConn(c)
+			srv.ServeConn(boundedConn{c})
 		}()
 	}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ambersill/internal/config"
@@ -123,3 +125,41 @@
 		t.Error("failing although the last call was answered")
 	}
 }
+
+// silentNet connects to a peer that reads nothing, as one that stands still once the
+// buffers between the two are full.
+type silentNet struct{ transport.TCP }
+
+func (silentNet) Dial(context.Context, string) (net.Conn, error) {
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+// A call ends within its limit although its request cannot even be written; so do those
+// behind it, and the connection is given up. Writing once held up all callers for as long
+// as the peer stood still.
+func TestCallsToAPeerThatReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 200 * time.Millisecond
+		p := &Peer{Member: config.Member{Node: "silent", Addr: "10.0.0.1:8081"}, Net: silentNet{}}
+		var wg sync.WaitGroup
+		for range 5 {
+			wg.Go(func() {
+				began := time.Now()
+				if err := p.Call("Mesh.View", Query{}, &Answer{}, limit); err == nil || time.Since(began) > limit {
+					t.Errorf("%v after %v", err, time.Since(began))
+				}
+			})
+		}
+		wg.Wait()
+		time.Sleep(silentLimit)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.client != nil && len(p.sending) > 0 {
+			t.Error("still writing beyond the limit")
+		}
+		if p.client != nil {
+			p.client.Close()
+		}
+	})
+}
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -23,6 +24,11 @@
 	config.Member
 	Net transport.Net
 
+	once sync.Once
+	// sending holds a place for the call that is being written: that blocks, whatever the
+	// caller's limit, while the peer reads nothing.
+	sending chan struct{}
+
 	mu       sync.Mutex
 	client   *rpc.Client
 	answered time.Time // last answer on the connection, or when it was made
@@ -54,11 +60,21 @@
 	if err != nil {
 		return err
 	}
+	p.once.Do(func() { p.sending = make(chan struct{}, 1) })
 	t := time.NewTimer(limit)
 	defer t.Stop()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
-	case <-call.Done:
+	case p.sending <- struct{}{}:
+	case <-t.C:
+		return errTimeout
+	}
+	done := make(chan *rpc.Call, 1)
+	go func() {
+		client.Go(method, args, reply, done)
+		<-p.sending
+	}()
+	select {
+	case call := <-done:
 		if call.Error != nil {
 			p.drop(client)
 			return call.Error
@@ -78,6 +94,16 @@
 	}
 }
 
+// boundedConn gives a write up that the other end does not take in time.
+type boundedConn struct{ net.Conn }
+
+func (c boundedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(silentLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // connect returns the open connection, or makes one.
 func (p *Peer) connect(limit time.Duration) (*rpc.Client, error) {
 	p.mu.Lock()
@@ -98,7 +124,7 @@
 		conn.Close() // another call was faster
 		return p.client, nil
 	}
-	p.client, p.answered = rpc.NewClient(conn), time.Now()
+	p.client, p.answered = rpc.NewClient(boundedConn{conn}), time.Now()
 	return p.client, nil
 }
 
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -66,7 +66,7 @@
 	mux.HandleFunc("POST /hosts", c.rent)
 	mux.HandleFunc("POST /hosts/return", c.giveBack)
 	mux.HandleFunc("GET /hosts", c.list)
-	return mux
+	return unlocked(mux)
 }
 
 func (c *Cloud) fault() (Fault, time.Duration) {
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -15,11 +16,14 @@
 	listeners map[string]*listener
 	hosts     map[string]*Host
 	cuts      map[[2]string]bool
+	// messageCost is the processor time that a message takes on a host.
+	messageCost map[string]time.Duration
 }
 
 // NewFabric makes an empty network.
 func NewFabric() *Fabric {
-	return &Fabric{listeners: map[string]*listener{}, hosts: map[string]*Host{}, cuts: map[[2]string]bool{}}
+	return &Fabric{listeners: map[string]*listener{}, hosts: map[string]*Host{}, cuts: map[[2]string]bool{},
+		messageCost: map[string]time.Duration{}}
 }
 
 // Host is one machine's access to the network; it implements transport.Net.
@@ -28,6 +32,8 @@
 	name  string
 	off   bool
 	conns map[*conn]bool
+	// processor holds a place for the message that is being worked on.
+	processor chan struct{}
 }
 
 type listener struct {
@@ -38,10 +44,75 @@
 	once sync.Once
 }
 
+// conn is one end of a connection. What is written waits in a buffer, as in a kernel's, so
+// that a writer goes on while the other end stands still.
 type conn struct {
 	net.Conn
 	a, b   *Host
+	local  *Host
 	remote string // host at the other end
+	out    chan []byte
+	done   chan struct{} // closed by Close
+	once   sync.Once
+}
+
+// maxBuffered is how many writes wait in a connection's buffer.
+const maxBuffered = 1024
+
+// flushLimit is how long a closed connection's buffer may take to be read.
+const flushLimit = 5 * time.Second
+
+func newConn(end net.Conn, a, b, local, remote *Host) *conn {
+	c := &conn{Conn: end, a: a, b: b, local: local, remote: remote.name, out: make(chan []byte, maxBuffered), done: make(chan struct{})}
+	go c.deliver()
+	return c
+}
+
+// deliver hands on what is written, and after Close what is left of it. Sending takes the
+// processor of the host.
+func (c *conn) deliver() {
+	defer c.Conn.Close()
+	for closed := false; !closed || len(c.out) > 0; {
+		select {
+		case b := <-c.out:
+			c.local.work()
+			if _, err := c.Conn.Write(b); err != nil {
+				return
+			}
+		case <-c.closing(closed):
+			closed = true
+		}
+	}
+}
+
+// closing is closed with the connection; nil, on which nothing is received, once that is known.
+func (c *conn) closing(known bool) <-chan struct{} {
+	if known {
+		return nil
+	}
+	return c.done
+}
+
+// Read receives a message, which takes the processor of the host.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.local.work()
+	return n, err
+}
+
+// Write puts a message into the buffer.
+func (c *conn) Write(b []byte) (int, error) {
+	select {
+	case <-c.done:
+		return 0, net.ErrClosed
+	default:
+	}
+	select {
+	case c.out <- bytes.Clone(b):
+		return len(b), nil
+	case <-c.done:
+		return 0, net.ErrClosed
+	}
 }
 
 // RemoteAddr names the host at the other end.
@@ -53,7 +124,7 @@
 func (f *Fabric) Host(name string) *Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h := &Host{f: f, name: name, conns: map[*conn]bool{}}
+	h := &Host{f: f, name: name, conns: map[*conn]bool{}, processor: make(chan struct{}, 1)}
 	f.hosts[name] = h
 	return h
 }
@@ -74,7 +145,7 @@
 	}
 	h.f.mu.Unlock()
 	for _, c := range all {
-		c.Close()
+		c.reset()
 	}
 }
 
@@ -93,7 +164,7 @@
 	}
 	f.mu.Unlock()
 	for _, c := range all {
-		c.Close()
+		c.reset()
 	}
 }
 
@@ -102,7 +173,17 @@
 	delete(c.a.conns, c)
 	delete(c.b.conns, c)
 	c.a.f.mu.Unlock()
-	return c.Conn.Close()
+	c.once.Do(func() {
+		close(c.done)
+		time.AfterFunc(flushLimit, func() { c.Conn.Close() })
+	})
+	return nil
+}
+
+// reset closes the connection, and drops what is under way.
+func (c *conn) reset() {
+	c.Close()
+	c.Conn.Close()
 }
 
 // Dial connects to an address.
@@ -126,7 +207,7 @@
 		return nil, ctx.Err()
 	}
 	x, y := net.Pipe()
-	cx, cy := &conn{x, h, l.host, l.host.name}, &conn{y, h, l.host, h.name}
+	cx, cy := newConn(x, h, l.host, h, l.host), newConn(y, h, l.host, l.host, h)
 	for _, c := range []*conn{cx, cy} {
 		h.conns[c], l.host.conns[c] = true, true
 	}
@@ -137,8 +218,8 @@
 	case <-l.done:
 	case <-ctx.Done():
 	}
-	cx.Close()
-	cy.Close()
+	cx.reset()
+	cy.reset()
 	return nil, errRefused
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -253,19 +253,17 @@
 			reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
 			return
 		}
+		answered := &late{ResponseWriter: w, status: http.StatusOK}
+		mux.ServeHTTP(answered, r)
 		if slow > 0 {
-			l := &late{ResponseWriter: w, status: http.StatusOK}
-			mux.ServeHTTP(l, r)
 			time.Sleep(slow)
-			w.WriteHeader(l.status)
-			_, _ = w.Write(l.body.Bytes())
-			return
 		}
-		mux.ServeHTTP(w, r)
+		answered.leave()
 	})
 }
 
-// late keeps an answer until it may leave.
+// late keeps an answer until it may leave: later, or when its handler is done and holds no
+// lock, since a host that stands still does not take it.
 type late struct {
 	http.ResponseWriter
 	status int
@@ -276,6 +274,20 @@
 
 func (l *late) Write(b []byte) (int, error) { return l.body.Write(b) }
 
+func (l *late) leave() {
+	l.ResponseWriter.WriteHeader(l.status)
+	_, _ = l.ResponseWriter.Write(l.body.Bytes())
+}
+
+// unlocked has a handler's answers leave when it is done.
+func unlocked(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answered := &late{ResponseWriter: w, status: http.StatusOK}
+		h.ServeHTTP(answered, r)
+		answered.leave()
+	})
+}
+
 func reply(w http.ResponseWriter, status int, v any) {
 	b, err := wire.Marshal(v)
 	if err != nil {
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -58,6 +58,11 @@
 	CloudCut Kind = "cloud cut"
 	// ZoneCut: a Zone's workers, and the nodes, reach nothing outside of it.
 	ZoneCut Kind = "zone cut"
+	// SlowProcessor: every message that the nodes send or receive takes Wait of the one
+	// processor that each has.
+	SlowProcessor Kind = "slow processor"
+	// StandsStill: the nodes send and receive nothing, as processes that are not run.
+	StandsStill Kind = "stands still"
 	// CancelNow: users cancel Count jobs (0: all) that run, at once.
 	CancelNow Kind = "cancel now"
 )
@@ -293,6 +298,8 @@
 		s.World.Delay(t.Wait)
 		lasts(ctx, t)
 		s.World.Delay(0)
+	case SlowProcessor, StandsStill:
+		s.starve(ctx, t)
 	case CancelNow:
 		s.meet(t.Kind, s.Cancel(t.Count))
 	default:
@@ -300,6 +307,25 @@
 	}
 }
 
+// starve takes processor time from the nodes.
+func (s *Stage) starve(ctx context.Context, t Trouble) {
+	var struck sync.WaitGroup
+	for _, n := range t.Nodes {
+		name := s.Nodes[n].Name
+		s.meet(t.Kind, 1)
+		struck.Go(func() {
+			if t.Kind == StandsStill {
+				s.Fabric.StandStill(ctx, name, t.For)
+				return
+			}
+			s.Fabric.SlowDown(name, t.Wait)
+			lasts(ctx, t)
+			s.Fabric.SlowDown(name, 0)
+		})
+	}
+	struck.Wait()
+}
+
 // during sets what becomes of commits for as long as the trouble lasts.
 func (s *Stage) during(ctx context.Context, t Trouble, at *func(string) (Fault, time.Duration), f func(string) (Fault, time.Duration)) {
 	s.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -344,7 +344,7 @@
 		}
 		reply(w, status, k.report())
 	})
-	srv := &http.Server{Handler: mux}
+	srv := &http.Server{Handler: unlocked(mux)}
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
 	_ = srv.Serve(l)
 }
