--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,11 +22,6 @@
 	timer *time.Timer
 }
 
-// on tells whether the task counts as being on its machine.
-func (t *task) on() bool {
-	return t.state == wire.WaitingGang || t.state == wire.RunningTask || t.state == wire.Saving
-}
-
 // Worker is a stand-in for the worker of one machine. All workers of a world
 // share its lock, which keeps gangs and the model simple.
 type Worker struct {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -15,7 +15,7 @@
 	"ambersill/internal/wire"
 )
 
-// ErrNotSent: no connection came about, so the order has certainly not left.
+// ErrNotSent tells that no connection came about, so the order has certainly not left.
 var ErrNotSent = errors.New("worker: not reached")
 
 // Client talks to workers.
