--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -33,15 +33,15 @@
 func (r *Refusal) Error() string { return r.Reason }
 
 type server struct {
-	s     Service
-	retry string
-	wait  time.Duration
+	service Service
+	retry   string
+	wait    time.Duration
 }
 
 // Handler makes the HTTP handler. Users' requests that take longer than wait
 // are refused with the advice to come back after retryAfter seconds.
 func Handler(s Service, retryAfter int, wait time.Duration) http.Handler {
-	h := &server{s: s, retry: strconv.Itoa(retryAfter), wait: wait}
+	h := &server{service: s, retry: strconv.Itoa(retryAfter), wait: wait}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /work", h.submit)
 	mux.HandleFunc("GET /work/{id}", h.job)
@@ -91,7 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), h.wait)
 	defer cancel()
-	v, created, err := h.s.Submit(ctx, b)
+	v, created, err := h.service.Submit(ctx, b)
 	switch {
 	case err != nil:
 		h.fail(w, err)
@@ -105,13 +105,13 @@
 func (h *server) job(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), h.wait)
 	defer cancel()
-	h.answer(w)(h.s.Job(ctx, r.PathValue("id")))
+	h.answer(w)(h.service.Job(ctx, r.PathValue("id")))
 }
 
 func (h *server) cancel(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), h.wait)
 	defer cancel()
-	h.answer(w)(h.s.Cancel(ctx, r.PathValue("id")))
+	h.answer(w)(h.service.Cancel(ctx, r.PathValue("id")))
 }
 
 func (h *server) answer(w http.ResponseWriter) func(wire.JobView, error) {
@@ -134,7 +134,7 @@
 		h.send(w, http.StatusBadRequest, wire.Problem{Error: "not a report"})
 		return
 	}
-	reply, node, ok := h.s.Report(&rep)
+	reply, node, ok := h.service.Report(&rep)
 	switch {
 	case ok:
 		h.send(w, http.StatusOK, reply)
@@ -146,7 +146,7 @@
 }
 
 func (h *server) up(w http.ResponseWriter, r *http.Request) {
-	if !h.s.Healthy() {
+	if !h.service.Healthy() {
 		h.send(w, http.StatusServiceUnavailable, wire.Problem{Error: "not ready"})
 		return
 	}
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -24,7 +24,7 @@
 	nodePrefix    = "c/n/"
 	partPrefix    = "c/p/"
 	machinePrefix = "c/m/"
-	hirePrefix    = "c/h/"
+	rentalPrefix  = "c/h/"
 	summaryPrefix = "s/"
 )
 
@@ -49,31 +49,31 @@
 	stamp uint64
 }
 
-type hireEntry struct {
-	rec   core.HireRecord
+type rentalEntry struct {
+	rec   core.RentalRecord
 	stamp uint64
 }
 
 // cluster is a copy of the cluster's keys, kept by a watch. It lags, so that
 // decisions based on it are only ever committed under the stamps it shows.
 type cluster struct {
-	mu       sync.Mutex
-	loaded   bool
-	lead     owner
-	parts    map[int]owner
-	nodes    map[string]uint64
-	groups   map[string]groupEntry
-	machines map[string]machineEntry
-	hires    map[string]hireEntry
-	seen     uint64        // all changes up to this revision are in the copy
-	changed  chan struct{} // closed and replaced at every change
-	onChange func(machine string, e machineEntry, gone bool)
-	onOwner  func(part int, o owner)
+	mu         sync.Mutex
+	loaded     bool
+	lead       owner
+	partitions map[int]owner
+	nodes      map[string]uint64
+	groups     map[string]groupEntry
+	machines   map[string]machineEntry
+	rentals    map[string]rentalEntry
+	seen       uint64        // all changes up to this revision are in the copy
+	changed    chan struct{} // closed and replaced at every change
+	onChange   func(machine string, e machineEntry, gone bool)
+	onOwner    func(part int, o owner)
 }
 
 func newCluster() *cluster {
-	return &cluster{parts: map[int]owner{}, nodes: map[string]uint64{}, groups: map[string]groupEntry{}, machines: map[string]machineEntry{},
-		hires: map[string]hireEntry{}, changed: make(chan struct{})}
+	return &cluster{partitions: map[int]owner{}, nodes: map[string]uint64{}, groups: map[string]groupEntry{}, machines: map[string]machineEntry{},
+		rentals: map[string]rentalEntry{}, changed: make(chan struct{})}
 }
 
 func (c *cluster) wait() <-chan struct{} {
@@ -92,9 +92,9 @@
 			c.lead = c.owner(value, stamp, gone)
 		}
 	case strings.HasPrefix(key, partPrefix):
-		if i, err := strconv.Atoi(key[len(partPrefix):]); err == nil && stamp >= c.parts[i].stamp {
+		if i, err := strconv.Atoi(key[len(partPrefix):]); err == nil && stamp >= c.partitions[i].stamp {
 			o := c.owner(value, stamp, gone)
-			c.parts[i] = o
+			c.partitions[i] = o
 			if c.onOwner != nil {
 				after = func() { c.onOwner(i, o) }
 			}
@@ -107,15 +107,15 @@
 		}
 	case strings.HasPrefix(key, machinePrefix):
 		after = c.applyGroup(key[len(machinePrefix):], value, stamp, gone)
-	case strings.HasPrefix(key, hirePrefix):
-		id := key[len(hirePrefix):]
+	case strings.HasPrefix(key, rentalPrefix):
+		id := key[len(rentalPrefix):]
 		if gone {
-			delete(c.hires, id)
+			delete(c.rentals, id)
 			break
 		}
-		var r core.HireRecord
+		var r core.RentalRecord
 		if wire.Unmarshal(value, &r) == nil {
-			c.hires[id] = hireEntry{r, stamp}
+			c.rentals[id] = rentalEntry{r, stamp}
 		}
 	}
 	close(c.changed)
@@ -198,7 +198,7 @@
 	}
 	for _, name := range order {
 		key := machinePrefix + name
-		conds = append(conds, wire.Cond{Key: key, Stamp: c.groups[name].stamp})
+		conds = append(conds, wire.Cond{Key: key, Revision: c.groups[name].stamp})
 		if len(next[name].Machines) == 0 {
 			then = append(then, wire.Write{Delete: key})
 		} else {
@@ -228,12 +228,12 @@
 	have := map[string]bool{}
 	for _, it := range items {
 		have[it.Key] = true
-		c.apply(it.Key, it.Value, it.Stamp, false)
+		c.apply(it.Key, it.Value, it.Revision, false)
 	}
 	c.mu.Lock()
 	var gone []string
-	for i, o := range c.parts {
-		if k := core.PartKey(i); !have[k] && o.node != "" {
+	for i, o := range c.partitions {
+		if k := core.PartitionKey(i); !have[k] && o.node != "" {
 			gone = append(gone, k)
 		}
 	}
@@ -250,9 +250,9 @@
 			gone = append(gone, machinePrefix+n)
 		}
 	}
-	for n := range c.hires {
-		if !have[hirePrefix+n] {
-			gone = append(gone, hirePrefix+n)
+	for n := range c.rentals {
+		if !have[rentalPrefix+n] {
+			gone = append(gone, rentalPrefix+n)
 		}
 	}
 	c.mu.Unlock()
@@ -317,7 +317,7 @@
 func (c *cluster) snapshotOwner(part int) owner {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.parts[part]
+	return c.partitions[part]
 }
 
 func (c *cluster) machine(id string) (machineEntry, bool) {
--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,113 @@
+package controller
+
+import (
+	"log/slog"
+	"time"
+
+	"ambersill/internal/core"
+	"ambersill/internal/wire"
+)
+
+// partitionRecords are all records of a partition, as they were listed.
+type partitionRecords struct {
+	machines, chunks, journal, cancellations []wire.Item
+	// revision is one from which a watch misses no job that the listings lack.
+	revision uint64
+	// askedAt is when the cancellations were asked for.
+	askedAt time.Time
+}
+
+// load reads the partition. It runs after the claim, whose revision fences the last
+// owner: nothing of it can be committed any more, so what is read here is whole.
+func (o *ownedPartition) load() (uint64, error) {
+	records, err := o.listRecords()
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	p := core.NewPartition(o.index, o.revision, o.controller.settings, &o.controller.tuning)
+	p.SetTypes(o.controller.catalog())
+	if err := loadMachines(p, records.machines, now); err != nil {
+		return 0, err
+	}
+	p.Load(decodeChunks(records.chunks), decodeJournal(records.journal))
+	p.Marked(o.cancelledJobs(records.cancellations), now)
+	o.publish(p, records.askedAt)
+	slog.Info("part read", "part", o.index, "jobs", p.Jobs(), "machines", len(p.MachineIDs()))
+	o.poke()
+	return records.revision, nil
+}
+
+// listRecords lists the partition's records in an order in which none is missed.
+func (o *ownedPartition) listRecords() (r partitionRecords, err error) {
+	list := func(prefix string, into *[]wire.Item) (revision uint64) {
+		if err == nil {
+			*into, revision, err = o.controller.store.List(o.ctx, prefix)
+		}
+		return revision
+	}
+	var key []wire.Item
+	list(machinePrefix, &r.machines)
+	// The watch starts before the jobs are read, so that none falls between.
+	r.revision = list(core.PartitionKey(o.index), &key)
+	list(core.ChunkPrefix(o.index), &r.chunks)
+	list(core.JournalPrefix(o.index), &r.journal)
+	r.askedAt = time.Now()
+	list(core.CancelPrefix(o.index), &r.cancellations)
+	return r, err
+}
+
+// loadMachines gives the partition its machines.
+func loadMachines(p *core.Partition, groups []wire.Item, now time.Time) error {
+	for _, it := range groups {
+		g, err := core.ReadGroup(it.Key[len(machinePrefix):], it.Value, it.Revision)
+		if err != nil {
+			return err
+		}
+		for id, r := range g.Machines {
+			p.SetMachine(id, r, it.Revision, now)
+		}
+	}
+	return nil
+}
+
+// decodeChunks decodes the chunks of jobs' tasks; what is not understood is left out.
+func decodeChunks(items []wire.Item) []core.LoadedChunk {
+	var all []core.LoadedChunk
+	for _, it := range items {
+		id, index, ok := core.SplitChunkKey(it.Key)
+		var r core.ChunkRecord
+		if err := wire.Unmarshal(it.Value, &r); err != nil || !ok {
+			slog.Error("record not understood", "key", it.Key, "err", err)
+			continue
+		}
+		all = append(all, core.LoadedChunk{Job: id, Index: index, Stamp: it.Revision, Record: r})
+	}
+	return all
+}
+
+// decodeJournal decodes the journal; what is not understood is left out.
+func decodeJournal(items []wire.Item) []core.LoadedSlot {
+	var all []core.LoadedSlot
+	for _, it := range items {
+		var r core.JournalRecord
+		if err := wire.Unmarshal(it.Value, &r); err != nil {
+			slog.Error("record not understood", "key", it.Key, "err", err)
+			continue
+		}
+		all = append(all, core.LoadedSlot{Stamp: it.Revision, Record: r})
+	}
+	return all
+}
+
+// publish has the partition answer reports from now on, with the changes of machines that
+// came while it was read.
+func (o *ownedPartition) publish(p *core.Partition, knownUntil time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.partition, o.knownUntil = p, knownUntil
+	for _, id := range sortedIDs(o.early) {
+		o.apply(id, o.early[id].e, o.early[id].gone)
+	}
+	o.early = nil
+}
--- /dev/null
+++ b/internal/controller/membership.go
@@ -0,0 +1,248 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"ambersill/internal/core"
+	"ambersill/internal/mesh"
+	"ambersill/internal/store"
+	"ambersill/internal/transport"
+	"ambersill/internal/tuning"
+	"ambersill/internal/wire"
+)
+
+// share sets this node's part of the state service's limits: an equal base for
+// users' requests, and the rest by the parts it owns. The leader may use more in
+// the moments when it records many rentals: at its base share alone, those of a
+// fleet that starts from nothing took 13 s on a service of 25 changes a second.
+func (c *Controller) share() {
+	st := c.settings.Cluster.State
+	n := float64(c.settings.Cluster.Count)
+	c.mu.Lock()
+	f := 0.4/n + 0.6*float64(len(c.owned))/float64(c.partitions)
+	if c.leading {
+		f = min(1, f+c.tuning.LeaderShare)
+	}
+	c.mu.Unlock()
+	f *= 1 - c.tuning.ShareReserve
+	c.store.SetShare(st.RPS*f, st.WriteRPS*f)
+}
+
+// keepMembership keeps the node's lease, and claims parts that nobody owns.
+func (c *Controller) keepMembership(ctx context.Context) error {
+	every := tuning.Seconds(c.tuning.HoldS / 4)
+	var extended time.Time // when the last renewal that was answered was sent
+	away := false
+	for ctx.Err() == nil {
+		if d := c.store.SinceContact(); away != (d > tuning.Seconds(c.tuning.FreshS)) {
+			away = !away
+			slog.Info("contact to the state service", "lost", away, "since_s", d.Seconds())
+		}
+		if c.lease == 0 {
+			asked := time.Now()
+			h, err := c.store.GrantLease(ctx, tuning.Seconds(c.tuning.HoldS))
+			if err != nil {
+				transport.Pause(ctx, 300*time.Millisecond)
+				continue
+			}
+			extended = asked
+			c.setLease(h, asked)
+			if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{{Put: nodePrefix + c.settings.Node, Value: core.OwnerRecord{Node: c.settings.Node}, Lease: h}}}); err != nil {
+				slog.Debug("node not entered", "err", err)
+			}
+		}
+		if time.Since(extended) >= every {
+			asked := time.Now()
+			err := c.store.RenewLease(ctx, c.lease)
+			switch {
+			case err == nil:
+				extended = asked
+				c.setLease(c.lease, asked)
+			case errors.Is(err, store.ErrNotFound):
+				// The hold ran out: whatever was attached to it is gone, and others
+				// may own it by now.
+				slog.Info("lease lost", "lease", c.lease)
+				c.setLease(0, asked)
+				c.loseAll()
+				continue
+			default:
+				slog.Debug("lease not renewed", "err", err)
+				transport.Pause(ctx, 200*time.Millisecond)
+				continue
+			}
+		}
+		c.claimPartitions(ctx)
+		wait := c.cluster.wait()
+		t := time.NewTimer(min(every, 250*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-wait:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// setLease notes the lease, and that it was granted or renewed at the earliest when that
+// was asked for.
+func (c *Controller) setLease(h uint64, asked time.Time) {
+	c.mu.Lock()
+	c.lease, c.leaseUntil = h, asked.Add(tuning.Seconds(c.tuning.HoldS*(1-c.tuning.Drift)))
+	c.mu.Unlock()
+}
+
+// holdsLease tells whether nothing under the given lease can be another's by now.
+func (c *Controller) holdsLease(hold uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease == hold && time.Now().Before(c.leaseUntil)
+}
+
+func (c *Controller) currentLease() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease
+}
+
+// claimPartitions takes parts without an owner: those that fall to this node at
+// once, others if nobody else takes them.
+func (c *Controller) claimPartitions(ctx context.Context) {
+	if len(c.catalog()) == 0 {
+		return
+	}
+	c.cluster.mu.Lock()
+	loaded := c.cluster.loaded
+	owners := map[int]owner{}
+	counts := map[string]int{}
+	for i := 0; i < c.partitions; i++ {
+		owners[i] = c.cluster.partitions[i]
+		counts[owners[i].node]++
+	}
+	nodes := len(c.cluster.nodes)
+	c.cluster.mu.Unlock()
+	if !loaded {
+		return
+	}
+	for i := 0; i < c.partitions; i++ {
+		o := owners[i]
+		mine := c.ownedPartition(i)
+		if o.node == c.settings.Node && mine == nil {
+			// Left by an earlier process of this node, which is gone for sure.
+			c.claim(ctx, i, o.stamp, false)
+			continue
+		}
+		if o.node != "" || mine != nil {
+			continue
+		}
+		c.mu.Lock()
+		rest := c.restPart[i]
+		c.mu.Unlock()
+		if time.Now().Before(rest) {
+			continue
+		}
+		fair := (c.partitions + max(nodes, 1) - 1) / max(nodes, 1)
+		if counts[c.settings.Node] >= fair {
+			transport.Pause(ctx, time.Second)
+			if c.cluster.snapshotOwner(i).node != "" {
+				continue
+			}
+		}
+		c.claim(ctx, i, 0, true)
+		counts[c.settings.Node]++
+	}
+}
+
+func (c *Controller) claim(ctx context.Context, part int, stamp uint64, fresh bool) {
+	hold := c.currentLease()
+	if hold == 0 {
+		return
+	}
+	key := core.PartitionKey(part)
+	rev, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Cond{{Key: key, Revision: stamp}},
+		Then: []wire.Write{{Put: key, Value: core.OwnerRecord{Node: c.settings.Node}, Lease: hold}},
+	})
+	if errors.Is(err, store.ErrUnknown) {
+		// It may have been carried out: the key tells.
+		it, gerr := c.store.Get(ctx, key)
+		if gerr != nil || it.Lease != hold {
+			return
+		}
+		rev, err = it.Revision, nil
+	}
+	if err != nil {
+		slog.Debug("part not claimed", "part", part, "err", err)
+		if !fresh {
+			// The copy may lag behind; look again.
+			if it, gerr := c.store.Get(ctx, key); gerr == nil {
+				c.cluster.apply(key, it.Value, it.Revision, false)
+			}
+		}
+		return
+	}
+	slog.Info("part claimed", "part", part, "stamp", rev)
+	o := c.newOwned(ctx, part, rev)
+	c.mu.Lock()
+	c.owned[part] = o
+	c.mu.Unlock()
+	c.share()
+	c.cluster.apply(key, must(wire.Marshal(core.OwnerRecord{Node: c.settings.Node})), rev, false)
+	if w := c.cluster.snapshotOwner(part); w.stamp > rev {
+		// The hold ran out on the way, and the news of the next owner came before the
+		// answer: nothing would drop the part that was not there yet.
+		c.lose(o, "owned by "+w.node)
+		return
+	}
+	go o.run()
+	for _, p := range c.peers {
+		go func() {
+			_ = p.Call("Mesh.Claimed", mesh.Claim{Part: part, Stamp: rev, Node: c.settings.Node}, &struct{}{}, 2*time.Second)
+		}()
+	}
+}
+
+// lose drops a part that this node no longer owns.
+func (c *Controller) lose(o *ownedPartition, why string) {
+	c.mu.Lock()
+	if c.owned[o.index] != o {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.owned, o.index)
+	c.mu.Unlock()
+	o.cancel()
+	c.share()
+	slog.Info("part given up", "part", o.index, "why", why)
+}
+
+func (c *Controller) loseAll() {
+	c.mu.Lock()
+	all := c.ownedPartitions()
+	c.mu.Unlock()
+	for _, o := range all {
+		c.lose(o, "lease lost")
+	}
+}
+
+// ownerChanged drops a part whose key shows another owner, or another claim.
+func (c *Controller) ownerChanged(part int, w owner) {
+	if o := c.ownedPartition(part); o != nil && w.stamp > o.revision {
+		c.lose(o, "owned by "+w.node)
+	}
+}
+
+// Claimed is the mesh's hint that another node has taken a part.
+func (c *Controller) Claimed(cl mesh.Claim) {
+	if cl.Part < 0 || cl.Part >= c.partitions {
+		return
+	}
+	v, err := wire.Marshal(core.OwnerRecord{Node: cl.Node})
+	if err != nil {
+		return
+	}
+	c.cluster.apply(core.PartitionKey(cl.Part), v, cl.Stamp, false)
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -1,21 +1,19 @@
 package controller
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
 	"ambersill/internal/core"
-	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
 	"ambersill/internal/worker"
 )
 
 // orders bounds what is sent straight to workers. Each order is a socket, and a worker
 // that does not answer holds one until it times out, so that without a bound a zone
-// that falls silent would take them all, the hold's renewal included.
+// that falls silent would take them all, the lease's renewal included.
 type orders struct {
 	mu    sync.Mutex
 	most  int
@@ -23,8 +21,8 @@
 	// A machine that has not carried the last one out is tried again after a while,
 	// each time twice as long, and all such machines share half of the room, so that
 	// those that answer are never behind them.
-	rest map[string]pause
-	slow int // under way to machines in rest
+	backoff map[string]pause
+	slow    int // under way to machines in rest
 }
 
 type underway struct{ slow, gone bool }
@@ -35,14 +33,14 @@
 }
 
 func newOrders(sockets int) *orders {
-	return &orders{most: max(2, int(float64(sockets)*tuning.OrderShare)), under: map[string]*underway{}, rest: map[string]pause{}}
+	return &orders{most: max(2, int(float64(sockets)*tuning.OrderShare)), under: map[string]*underway{}, backoff: map[string]pause{}}
 }
 
 // begin takes room for an order to a machine; false: not now.
 func (q *orders) begin(id string, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r, slow := q.rest[id]
+	r, slow := q.backoff[id]
 	if q.under[id] != nil || len(q.under) >= q.most || (slow && (now.Before(r.until) || q.slow >= q.most/2)) {
 		return false
 	}
@@ -64,21 +62,21 @@
 		q.slow--
 	}
 	if executed || u.gone {
-		delete(q.rest, id)
+		delete(q.backoff, id)
 		return
 	}
-	r := q.rest[id]
+	r := q.backoff[id]
 	r.wait = min(max(2*r.wait, least), most)
 	r.until = now.Add(r.wait)
-	q.rest[id] = r
+	q.backoff[id] = r
 }
 
 // heard notes that a machine reports, so that it may be tried at once.
 func (q *orders) heard(id string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.rest[id]; ok && q.under[id] == nil {
-		q.rest[id] = pause{}
+	if _, ok := q.backoff[id]; ok && q.under[id] == nil {
+		q.backoff[id] = pause{}
 	}
 }
 
@@ -86,105 +84,48 @@
 func (q *orders) forget(id string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.rest, id)
+	delete(q.backoff, id)
 	if u := q.under[id]; u != nil {
 		u.gone = true
 	}
 }
 
-// seize raises the token of every machine at once, rather than at its next report,
-// and goes on until all have shown it: workers that report to a former owner, which is
-// cut off and does not know, hear of this one by no other way.
-func (o *owned) seize() {
-	listed, again := false, time.Time{}
-	for o.ctx.Err() == nil {
-		o.mu.Lock()
-		ids := o.p.Unheard()
-		o.mu.Unlock()
-		if len(ids) == 0 {
-			return
-		}
-		if now := time.Now(); !listed && now.After(again) {
-			list, err := o.c.cloud.List(o.ctx)
-			for _, m := range list {
-				o.c.learn(m.ID, m.Addr)
-			}
-			listed, again = err == nil, now.Add(tuning.Seconds(o.c.s.Cluster.Workers.ReportS))
-		}
-		for _, id := range ids {
-			if addr := o.c.addr(id); addr != "" && o.begin(id) {
-				go o.seizeOne(id, addr)
-			}
-		}
-		transport.Pause(o.ctx, seizeGap)
-	}
-}
-
-// seizeGap is how often machines are looked for that have not shown the token yet:
-// a small part of a lease, so that rounds do not add up.
-const seizeGap = 200 * time.Millisecond
-
 // begin takes room for an order to a machine of this part.
-func (o *owned) begin(id string) bool { return o.c.orders.begin(id, time.Now()) }
+func (o *ownedPartition) begin(id string) bool { return o.controller.orders.begin(id, time.Now()) }
 
 // end gives it back.
-func (o *owned) end(id string, executed bool) {
-	w := o.c.s.Cluster.Workers
-	o.c.orders.end(id, executed, time.Now(), tuning.Seconds(w.ReportS), tuning.Seconds(w.LeaseS))
-}
-
-// seizeOne raises one machine's token, and takes the answer in as a report.
-func (o *owned) seizeOne(id, addr string) {
-	executed := false
-	defer func() { o.end(id, executed) }()
-	o.mu.Lock()
-	ord, ok := o.p.Seizure(id)
-	o.mu.Unlock()
-	if !ok {
-		return
-	}
-	// A machine that is there answers in milliseconds; this one must not hold up the rest.
-	ctx, cancel := context.WithTimeout(o.ctx, tuning.SeizeTimeout)
-	defer cancel()
-	r, done, err := o.c.workers.Order(ctx, addr, ord)
-	executed = done
-	if err != nil {
-		slog.Debug("machine not seized yet", "machine", id, "err", err)
-		return
-	}
-	o.mu.Lock()
-	o.p.Heard(r, time.Now())
-	o.mu.Unlock()
-	o.poke()
+func (o *ownedPartition) end(id string, executed bool) {
+	w := o.controller.settings.Cluster.Workers
+	o.controller.orders.end(id, executed, time.Now(), tuning.Seconds(w.ReportS), tuning.Seconds(w.LeaseS))
 }
 
 // direct sends starts and stops without waiting for the next report. What finds no
 // room now goes with a later pass, or in the answer to a report. Without news only the
 // tasks of cancelled jobs are stopped, which is right whoever owns the part by now.
-func (o *owned) direct() {
+func (o *ownedPartition) direct() {
 	fresh := o.fresh()
 	o.mu.Lock()
-	ids := o.p.Urgent(fresh)
+	ids := o.partition.Urgent(fresh)
 	o.mu.Unlock()
 	for _, id := range ids {
-		if addr := o.c.addr(id); addr != "" && o.begin(id) {
+		if addr := o.controller.addr(id); addr != "" && o.begin(id) {
 			go o.order(id, addr)
 		}
 	}
 }
 
 // order sends a machine its starts and stops.
-func (o *owned) order(id, addr string) {
+func (o *ownedPartition) order(id, addr string) {
 	outcome := core.OrderExecuted
 	defer func() { o.end(id, outcome == core.OrderExecuted) }()
 	fresh := o.fresh()
 	o.mu.Lock()
-	ord, ok := o.p.Orders(id, fresh)
+	ord, ok := o.partition.Orders(id, fresh)
 	o.mu.Unlock()
 	if !ok {
 		return
 	}
-	r, executed, err := o.c.workers.Order(o.ctx, addr, ord)
+	r, executed, err := o.controller.workers.Order(o.ctx, addr, ord)
 	outcome = core.OrderUnknown
 	switch {
 	case executed:
@@ -196,9 +137,9 @@
 		slog.Debug("order unanswered", "machine", id, "err", err)
 	}
 	o.mu.Lock()
-	o.p.Ordered(ord, id, outcome)
+	o.partition.Ordered(ord, id, outcome)
 	if err == nil {
-		o.p.Heard(r, time.Now())
+		o.partition.Heard(r, time.Now())
 	}
 	o.mu.Unlock()
 	o.poke()
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -41,10 +41,10 @@
 		return wire.ReportReply{}, "", false
 	}
 	owner := c.cluster.snapshotOwner(entry.rec.Part).node
-	if node := c.assignedNode(r.Machine, owner); node != c.s.Node && c.endsVisit(r.Machine, time.Now()) {
+	if node := c.assignedNode(r.Machine, owner); node != c.settings.Node && c.endsVisit(r.Machine, time.Now()) {
 		return wire.ReportReply{}, node, false
 	}
-	if c.ownedPart(entry.rec.Part) != nil {
+	if c.ownedPartition(entry.rec.Part) != nil {
 		reply, ok := c.OwnedReport(r)
 		return reply, "", ok
 	}
@@ -106,7 +106,7 @@
 	v := c.visits[machine]
 	ends := false
 	switch {
-	case now.Sub(v.last) > tuning.Seconds(c.s.Cluster.Workers.LeaseS), v.sent:
+	case now.Sub(v.last) > tuning.Seconds(c.settings.Cluster.Workers.LeaseS), v.sent:
 		v = visit{until: now.Add(stayFor)}
 	case !now.Before(v.until):
 		v.sent, ends = true, true
@@ -116,12 +116,12 @@
 	return ends
 }
 
-// newsLimit is the age of an owner's news up to which it answers reports. A job that was
+// stalenessLimit is the age of an owner's news up to which it answers reports. A job that was
 // cancelled just after them goes on for as long as reports are answered, and then for the
 // lease that the last answered one renewed when it was sent.
-func (c *Controller) newsLimit() time.Duration {
-	w := c.s.Cluster.Workers
-	return tuning.Seconds(w.CancelS - w.LeaseS*(1+c.t.Drift) - w.ReportS - c.t.MarginS)
+func (c *Controller) stalenessLimit() time.Duration {
+	w := c.settings.Cluster.Workers
+	return tuning.Seconds(w.CancelS - w.LeaseS*(1+c.tuning.Drift) - w.ReportS - c.tuning.MarginS)
 }
 
 // OwnedReport answers a report as the owner of its machine's partition.
@@ -130,23 +130,23 @@
 	if !known {
 		return wire.ReportReply{}, false
 	}
-	o := c.ownedPart(e.rec.Part)
+	o := c.ownedPartition(e.rec.Part)
 	if o == nil {
 		return wire.ReportReply{}, false
 	}
 	c.learn(r.Machine, r.Addr)
-	age := o.newsAge()
-	if age > c.newsLimit() {
+	age := o.staleness()
+	if age > c.stalenessLimit() {
 		// Cancellations may have been told elsewhere; the leases must run out.
 		return wire.ReportReply{}, false
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.p == nil {
+	if o.partition == nil {
 		return wire.ReportReply{}, false
 	}
-	fresh := age < tuning.Seconds(c.t.FreshS)
-	v, reply := o.p.Report(r, time.Now(), fresh)
+	fresh := age < tuning.Seconds(c.tuning.FreshS)
+	v, reply := o.partition.Report(r, time.Now(), fresh)
 	if v != core.Accepted {
 		slog.Debug("report not taken", "machine", r.Machine, "verdict", v, "token", r.Token)
 		if v == core.Outranked && !fresh {
@@ -158,7 +158,7 @@
 	}
 	c.orders.heard(r.Machine)
 	// Most reports change nothing, and on a small processor a pass for each is dear.
-	if o.p.Stirred() {
+	if o.partition.Stirred() {
 		o.poke()
 	}
 	return reply, true
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -20,13 +20,13 @@
 
 // serve answers users and workers until the context ends.
 func (c *Controller) serve(ctx context.Context) error {
-	l, err := c.net.Listen(ctx, c.s.PublicAddr)
+	l, err := c.net.Listen(ctx, c.settings.PublicAddr)
 	if err != nil {
 		return err
 	}
 	l = netutil.LimitListener(l, c.publicSockets())
 	srv := &http.Server{
-		Handler:           api.Handler(c, c.t.RetryAfterS, tuning.Seconds(c.t.UserWaitS)),
+		Handler:           api.Handler(c, c.tuning.RetryAfterS, tuning.Seconds(c.tuning.UserWaitS)),
 		ReadHeaderTimeout: tuning.ReadTimeout,
 		ReadTimeout:       tuning.ReadTimeout,
 		IdleTimeout:       tuning.IdleTimeout,
@@ -49,7 +49,7 @@
 // controller does not need for itself and for orders to workers.
 func (c *Controller) publicSockets() int {
 	const least = 16 // enough for health checks, and to say no
-	return max(c.s.Cluster.Limits.MaxSockets-tuning.OwnSockets-tuning.IdleOrders-c.orders.most, least)
+	return max(c.settings.Cluster.Limits.MaxSockets-tuning.OwnSockets-tuning.IdleOrders-c.orders.most, least)
 }
 
 // Healthy tells whether this node can take requests. In an outage that all
@@ -59,7 +59,7 @@
 		return false
 	}
 	// Half as long again as what stops starts, so that one slow answer changes nothing.
-	if c.store.SinceContact() < tuning.Seconds(1.5*c.t.FreshS) {
+	if c.store.SinceContact() < tuning.Seconds(1.5*c.tuning.FreshS) {
 		return true
 	}
 	limit := 400 * time.Millisecond
@@ -69,7 +69,7 @@
 		go func() {
 			var a mesh.Answer
 			err := p.Call("Mesh.View", mesh.Query{}, &a, limit)
-			views <- view{err == nil, err == nil && a.Contact < c.t.FreshS}
+			views <- view{err == nil, err == nil && a.Contact < c.tuning.FreshS}
 		}()
 	}
 	there := len(c.peers) == 0
@@ -88,7 +88,7 @@
 // inTouch refuses what takes the state service while that serves this node with
 // nothing: a user is told to come back at once, not after a wait.
 func (c *Controller) inTouch() error {
-	if d := c.store.SinceContact(); d > tuning.Seconds(c.t.FreshS) {
+	if d := c.store.SinceContact(); d > tuning.Seconds(c.tuning.FreshS) {
 		return fmt.Errorf("no contact to the state service for %.0f s", d.Seconds())
 	}
 	return nil
@@ -108,7 +108,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.finals) >= c.t.FinalCache {
+	if len(c.finals) >= c.tuning.FinalCache {
 		for k := range c.finals {
 			delete(c.finals, k)
 			break
@@ -135,26 +135,26 @@
 		return r, 0, err
 	}
 	c.remember(r)
-	return r, it.Stamp, nil
+	return r, it.Revision, nil
 }
 
-// partOf says which part a job belongs to: its team's where teams have limits
+// partitionOf says which part a job belongs to: its team's where teams have limits
 // or guarantees, so that one owner enforces them alone. Else jobs that compete for
 // the same types of machine share a part, since types that are split among parts
 // strand room.
-func (c *Controller) partOf(j *wire.Job) int {
-	for _, t := range c.s.Cluster.Teams {
+func (c *Controller) partitionOf(j *wire.Job) int {
+	for _, t := range c.settings.Cluster.Teams {
 		if t.CPUs == 0 && t.CPUsMax == 0 && t.GPUs == 0 && t.GPUsMax == 0 {
 			continue
 		}
-		for i, t := range c.s.Cluster.Teams {
+		for i, t := range c.settings.Cluster.Teams {
 			if t.Name == j.Team {
-				return i % c.parts
+				return i % c.partitions
 			}
 		}
 		return 0
 	}
-	return core.Competes(j, c.catalog()) % c.parts
+	return core.Competes(j, c.catalog()) % c.partitions
 }
 
 // Submit takes a job in.
@@ -170,7 +170,7 @@
 	if len(types) == 0 {
 		return wire.JobView{}, false, errors.New("machine types not known yet")
 	}
-	if why := core.Impossible(j, c.s, types); why != "" {
+	if why := core.Impossible(j, c.settings, types); why != "" {
 		// A job that was accepted before is known, whatever its repeat says.
 		r, _, err := c.readJob(ctx, j.ID)
 		switch {
@@ -184,10 +184,10 @@
 	if err := c.inTouch(); err != nil {
 		return wire.JobView{}, false, err
 	}
-	rec := core.JobRecord{Job: j, Phase: wire.Queued, Part: c.partOf(j), At: time.Now().UnixMilli()}
+	rec := core.JobRecord{Job: j, Phase: wire.Queued, Part: c.partitionOf(j), At: time.Now().UnixMilli()}
 	key := core.JobKey(j.ID)
 	_, err = c.store.Commit(ctx, wire.Txn{
-		If: []wire.Cond{{Key: key, Stamp: 0}},
+		If: []wire.Cond{{Key: key, Revision: 0}},
 		Then: []wire.Write{
 			{Put: key, Value: rec},
 			{Put: core.ChunkKey(rec.Part, j.ID, 0), Value: core.FirstChunk(&rec)},
@@ -272,7 +272,7 @@
 		}
 		r.Phase = wire.Cancelled
 		_, err = c.store.Commit(ctx, wire.Txn{
-			If: []wire.Cond{{Key: core.JobKey(id), Stamp: stamp}},
+			If: []wire.Cond{{Key: core.JobKey(id), Revision: stamp}},
 			Then: []wire.Write{
 				{Put: core.JobKey(id), Value: r},
 				{Put: core.CancelKey(r.Part, id), Value: true},
@@ -299,7 +299,7 @@
 // which spares the job's tasks a second or, where the state service refuses the owner
 // alone, half a minute; nothing relies on it.
 func (c *Controller) tellCancelled(part int, id string) {
-	if o := c.ownedPart(part); o != nil {
+	if o := c.ownedPartition(part); o != nil {
 		o.cancelled(id)
 		return
 	}
@@ -322,7 +322,7 @@
 
 // Cancelled is the mesh's hint that a job's cancellation is committed.
 func (c *Controller) Cancelled(n mesh.Cancellation) {
-	if o := c.ownedPart(n.Part); o != nil {
+	if o := c.ownedPartition(n.Part); o != nil {
 		o.cancelled(n.Job)
 	}
 }
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -42,8 +42,8 @@
 // CancelKey marks a job as cancelled for its part's owner.
 func CancelKey(part int, id string) string { return CancelPrefix(part) + id }
 
-// PartKey is the key that names a part's owner.
-func PartKey(part int) string { return "c/p/" + strconv.Itoa(part) }
+// PartitionKey is the key that names a part's owner.
+func PartitionKey(part int) string { return "c/p/" + strconv.Itoa(part) }
 
 // FirstChunk is the record of a job's first chunk as it is submitted.
 func FirstChunk(r *JobRecord) ChunkRecord { return ChunkRecord{Job: r.Job, At: r.At} }
@@ -111,10 +111,10 @@
 
 // Batch gathers changes for one transaction: the end of a job first, chunks that
 // the journal's ring makes due, the journal, and records that are to go.
-func (p *Part) Batch() *Batch {
+func (p *Partition) Batch() *Batch {
 	ops := p.s.Cluster.State.TxnOps
 	b := &Batch{}
-	b.Txn.If = append(b.Txn.If, wire.Cond{Key: PartKey(p.Index), Stamp: p.Stamp})
+	b.Txn.If = append(b.Txn.If, wire.Cond{Key: PartitionKey(p.Index), Revision: p.Stamp})
 	size := 0
 	ids := sortedKeys(p.jobs)
 	for _, id := range ids {
@@ -128,7 +128,7 @@
 		}
 		// One end per batch keeps conflicts with cancellations apart.
 		rec := JobRecord{Job: j.Job, Phase: wire.Done, Part: p.Index, At: j.At.UnixMilli()}
-		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Stamp: j.Stamp}, wire.Cond{Key: ChunkKey(p.Index, id, 0), Stamp: j.chunks[0].stamp})
+		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Revision: j.Stamp}, wire.Cond{Key: ChunkKey(p.Index, id, 0), Revision: j.chunks[0].stamp})
 		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: JobKey(id), Value: rec}, wire.Write{Delete: ChunkKey(p.Index, id, 0)})
 		b.ended = j
 		size += 1000
@@ -153,16 +153,16 @@
 }
 
 // discard deletes a chunk's record.
-func (p *Part) discard(b *Batch, c *chunk) {
+func (p *Partition) discard(b *Batch, c *chunk) {
 	key := ChunkKey(p.Index, c.job.ID, c.index)
-	b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: c.stamp})
+	b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Revision: c.stamp})
 	b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: key})
 	b.cleaned = append(b.cleaned, c)
 }
 
 // forget drops the records of a cancelled job, all of which is gone: the first
 // chunk, which makes it known to a new owner, and then the mark last of all.
-func (p *Part) forget(b *Batch, j *Job, ops int) {
+func (p *Partition) forget(b *Batch, j *Job, ops int) {
 	for i := len(j.chunks) - 1; i >= 0; i-- {
 		c := j.chunks[i]
 		if c.stamp == 0 {
@@ -182,7 +182,7 @@
 }
 
 // Committed notes that a batch is in the state service.
-func (p *Part) Committed(b *Batch, rev uint64) {
+func (p *Partition) Committed(b *Batch, rev uint64) {
 	for _, seq := range b.slots {
 		p.slots[p.slot(seq)] = rev
 	}
@@ -220,7 +220,7 @@
 
 // end forgets a job whose end is committed. Placements of a finished gang that
 // its workers have not reported yet keep their room until they do.
-func (p *Part) end(j *Job) {
+func (p *Partition) end(j *Job) {
 	j.final = true
 	delete(p.jobs, j.ID)
 	if len(p.over) >= maxOver {
@@ -238,7 +238,7 @@
 // Refresh takes in what a re-read found of a key after an unknown outcome or a
 // conflict. All stays marked as changed, so that the next commit rewrites the
 // key under its present stamp, which fences whatever is still under way.
-func (p *Part) Refresh(b *Batch, key string, stamp uint64, rec *JobRecord, now time.Time) {
+func (p *Partition) Refresh(b *Batch, key string, stamp uint64, rec *JobRecord, now time.Time) {
 	if b.ended != nil && key == JobKey(b.ended.ID) {
 		j := b.ended
 		j.Stamp = stamp
--- a/internal/core/consolidate.go
+++ b/internal/core/consolidate.go
@@ -22,7 +22,7 @@
 // consolidate empties a machine whose work fits into the room of others that are
 // in use, so that it can go back: sizing counts booked room, but only an empty
 // machine can be returned. Only work that can save is moved.
-func (p *Part) consolidate(now time.Time) {
+func (p *Partition) consolidate(now time.Time) {
 	if now.Sub(p.consolidated) < tuning.Seconds(p.t.ConsolidateS) {
 		return
 	}
@@ -65,7 +65,7 @@
 }
 
 // empties tells whether all work of a machine can be moved, and is worth moving.
-func (p *Part) empties(m *Machine, now time.Time) bool {
+func (p *Partition) empties(m *Machine, now time.Time) bool {
 	left := map[string]Room{}
 	for _, k := range sortedAttempts(m.places) {
 		pl := m.places[k]
--- a/internal/core/gather.go
+++ b/internal/core/gather.go
@@ -18,7 +18,7 @@
 // end: where all the room it needs comes together the soonest. Nothing is stopped
 // for it. Without this, small work takes each place as it falls free, and a gang of
 // many machines never finds them empty together.
-func (p *Part) gather(j *Job, n int, now time.Time) {
+func (p *Partition) gather(j *Job, n int, now time.Time) {
 	if j.Shape != wire.Gang || !j.aged || now.Before(j.gathers) {
 		return
 	}
@@ -77,7 +77,7 @@
 
 // vacancies lists when a machine will have room for one task of a job, for a second
 // one, and so on, if nothing else is placed there.
-func (p *Part) vacancies(j *Job, m *Machine, now time.Time) []vacancy {
+func (p *Partition) vacancies(j *Job, m *Machine, now time.Time) []vacancy {
 	type end struct {
 		in   float64
 		room Room
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -17,11 +17,11 @@
 // JournalPrefix is the prefix of a part's journal.
 func JournalPrefix(part int) string { return "g/" + strconv.Itoa(part) + "/" }
 
-func (p *Part) journalKey(seq uint64) string {
+func (p *Partition) journalKey(seq uint64) string {
 	return JournalPrefix(p.Index) + strconv.FormatUint(p.slot(seq), 10)
 }
 
-func (p *Part) slot(seq uint64) uint64 { return seq % uint64(len(p.slots)) }
+func (p *Partition) slot(seq uint64) uint64 { return seq % uint64(len(p.slots)) }
 
 // JournalRecord is one record of the journal. Its number orders it: what a higher
 // one says of a task overrides a lower one, and a chunk's record holds all up to
@@ -47,7 +47,7 @@
 }
 
 // touch notes that a task's state has changed, and must be recorded.
-func (p *Part) touch(c *chunk, task int) {
+func (p *Partition) touch(c *chunk, task int) {
 	if c.job.final {
 		return
 	}
@@ -63,7 +63,7 @@
 
 // settle notes that all changes up to a version are recorded, of the tasks given
 // or, for nil, of all.
-func (p *Part) settle(c *chunk, version int, tasks []int) {
+func (p *Partition) settle(c *chunk, version int, tasks []int) {
 	if tasks == nil {
 		for t, v := range c.touched {
 			if v <= version {
@@ -90,7 +90,7 @@
 
 // fold adds the records of chunks whose journal entries the ring will soon
 // overwrite. It tells whether the journal can go on before those are committed.
-func (p *Part) fold(b *Batch, size *int, most int) bool {
+func (p *Partition) fold(b *Batch, size *int, most int) bool {
 	ring := uint64(len(p.slots))
 	var due []*chunk
 	for c := range p.unfolded {
@@ -127,7 +127,7 @@
 		}
 		*size += n
 		key := ChunkKey(p.Index, c.job.ID, c.index)
-		b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: c.stamp})
+		b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Revision: c.stamp})
 		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: key, Value: rec})
 		b.folds = append(b.folds, foldWrite{c, c.version})
 	}
@@ -137,7 +137,7 @@
 // journal adds the changes of all chunks, those that wait the longest first. A
 // number is used once, whatever becomes of the batch: a lost one may be carried out
 // late, and must then count as older than what was written since.
-func (p *Part) journal(b *Batch, size *int, most int) {
+func (p *Partition) journal(b *Batch, size *int, most int) {
 	folded := map[*chunk]bool{}
 	for _, f := range b.folds {
 		folded[f.c] = true
@@ -157,7 +157,7 @@
 			return
 		}
 		key := p.journalKey(cur.Seq)
-		b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Stamp: p.slots[p.slot(cur.Seq)]})
+		b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Revision: p.slots[p.slot(cur.Seq)]})
 		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: key, Value: *cur})
 		b.slots = append(b.slots, cur.Seq)
 		*size += used
@@ -240,7 +240,7 @@
 
 // Load takes in all records of the part after a takeover. The machines must be
 // known already.
-func (p *Part) Load(chunks []LoadedChunk, journal []LoadedSlot) {
+func (p *Partition) Load(chunks []LoadedChunk, journal []LoadedSlot) {
 	type id struct {
 		job   string
 		index int
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -21,7 +21,7 @@
 
 // Schedule places waiting tasks: a queue per team, the teams served in turn by
 // shares, guaranteed work first, then by rank.
-func (p *Part) Schedule(now time.Time) {
+func (p *Partition) Schedule(now time.Time) {
 	p.now = now
 	p.Sweep(now)
 	p.roomy = p.roomy[:0]
@@ -53,7 +53,7 @@
 
 // Stirred tells whether anything has changed since the last pass that one would act on
 // before time alone makes it do so.
-func (p *Part) Stirred() bool { return len(p.dirty) > 0 || p.room != p.passed }
+func (p *Partition) Stirred() bool { return len(p.dirty) > 0 || p.room != p.passed }
 
 type queue struct {
 	team *team
@@ -77,7 +77,7 @@
 	return l
 }
 
-func (p *Part) before(q, o *queue) bool {
+func (p *Partition) before(q, o *queue) bool {
 	a, b := q.jobs[0], o.jobs[0]
 	if d := urgency(a, b); d != 0 {
 		return d > 0
@@ -117,7 +117,7 @@
 
 // due is when a job's turn is. Without a deadline, little work comes before much:
 // that gets the most jobs over in good time, and age still wins in the end.
-func (p *Part) due(j *Job) time.Time {
+func (p *Partition) due(j *Job) time.Time {
 	if j.Deadline > 0 {
 		return j.At.Add(tuning.Seconds(j.Deadline - j.Estimate))
 	}
@@ -125,7 +125,7 @@
 	return j.At.Add(tuning.Seconds(p.t.WorkWeight * work))
 }
 
-func (p *Part) earlier(a, b *Job) bool {
+func (p *Partition) earlier(a, b *Job) bool {
 	if a.aged && b.aged && !a.At.Equal(b.At) {
 		return a.At.Before(b.At)
 	}
@@ -136,7 +136,7 @@
 }
 
 // queues sorts the jobs with waiting tasks by team.
-func (p *Part) queues(now time.Time) []*queue {
+func (p *Partition) queues(now time.Time) []*queue {
 	all := map[string][]*Job{}
 	for _, j := range p.jobs {
 		if !j.Cancelled && j.done < j.Tasks {
@@ -186,7 +186,7 @@
 }
 
 // place starts what it can of a job in this turn; false: nothing more now.
-func (p *Part) place(j *Job, t *team, now time.Time) bool {
+func (p *Partition) place(j *Job, t *team, now time.Time) bool {
 	if j.noRoom == p.room {
 		return false
 	}
@@ -210,7 +210,7 @@
 	where := p.fit(j, n, now, p.roomy, (*Machine).free)
 	if len(where) == 0 || (j.Shape == wire.Gang && len(where) < n) {
 		j.noRoom = p.room
-		p.makeRoom(j, min(n, 2*slice), now)
+		p.preemptFor(j, min(n, 2*slice), now)
 		if !j.held {
 			p.gather(j, n, now)
 		}
@@ -247,7 +247,7 @@
 }
 
 // trimImages keeps the guess of a machine's cache to the most recently used.
-func (p *Part) trimImages(m *Machine) {
+func (p *Partition) trimImages(m *Machine) {
 	const most = 12 // images; the cloud's caches hold about as many
 	for len(m.images) > most {
 		oldest := ""
@@ -293,7 +293,7 @@
 
 // fit finds machines for up to n tasks of a job among those given, for a gang for all
 // n or none. free tells what room of a machine counts.
-func (p *Part) fit(j *Job, n int, now time.Time, among []*Machine, free func(*Machine) Room) []*Machine {
+func (p *Partition) fit(j *Job, n int, now time.Time, among []*Machine, free func(*Machine) Room) []*Machine {
 	r := need(j.Job)
 	zones := zoneCount(j)
 	var cands []*Machine
@@ -345,7 +345,7 @@
 }
 
 // plain tells whether a type without GPUs could take a job's tasks.
-func (p *Part) plain(j *wire.Job) bool {
+func (p *Partition) plain(j *wire.Job) bool {
 	for _, t := range p.types {
 		if t.GPUs == 0 && typeAllowed(j.Types, t.Name) && size(t).holds(need(j)) {
 			return true
@@ -367,7 +367,7 @@
 }
 
 // pick takes the cheapest machines one after the other.
-func (p *Part) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
+func (p *Partition) pick(j *Job, n int, cands []*Machine, zones map[string]int, free func(*Machine) Room) []*Machine {
 	// What a machine costs does not change while tasks are put there, so the machines
 	// are taken in one order, each until it is full.
 	type choice struct {
@@ -402,7 +402,7 @@
 }
 
 // fetch is how many seconds a machine would take to fetch a job's image.
-func (p *Part) fetch(j *Job, m *Machine) float64 {
+func (p *Partition) fetch(j *Job, m *Machine) float64 {
 	if _, ok := m.images[j.Image]; ok || m.typ.FetchRate <= 0 {
 		return 0
 	}
@@ -412,7 +412,7 @@
 // leastFetch is the shortest fetch of a job's image among the machines that have
 // room for a task of it now. A job whose image is there goes before one that would
 // hold on to the machine while it fetches.
-func (p *Part) leastFetch(j *Job) float64 {
+func (p *Partition) leastFetch(j *Job) float64 {
 	least := -1.0
 	r := need(j.Job)
 	for _, m := range p.roomy {
@@ -428,7 +428,7 @@
 
 // cost orders machines for a task, in seconds: the image's fetch, then the
 // scarcer machine, then the emptier one, so that whole machines fall empty.
-func (p *Part) cost(j *Job, m *Machine) float64 {
+func (p *Partition) cost(j *Job, m *Machine) float64 {
 	c := p.fetch(j, m)
 	if j.GPUs == 0 && m.typ.GPUs > 0 {
 		c += 120
@@ -441,7 +441,7 @@
 }
 
 // all lists the part's machines in the order of their names.
-func (p *Part) all() []*Machine {
+func (p *Partition) all() []*Machine {
 	out := make([]*Machine, len(p.order))
 	for i, id := range p.order {
 		out[i] = p.machines[id]
@@ -449,9 +449,9 @@
 	return out
 }
 
-// makeRoom stops work of lower rank, or what another team runs beyond its
+// preemptFor stops work of lower rank, or what another team runs beyond its
 // guarantee, for a job that finds no room.
-func (p *Part) makeRoom(j *Job, n int, now time.Time) {
+func (p *Partition) preemptFor(j *Job, n int, now time.Time) {
 	if now.Sub(j.preempted) < tuning.Seconds(p.t.PreemptGapS) {
 		return
 	}
@@ -531,14 +531,14 @@
 
 // settled tells whether a task has run long enough for its start to count, and
 // loses little when it is stopped.
-func (p *Part) settled(pl *Placement, now time.Time) bool {
+func (p *Partition) settled(pl *Placement, now time.Time) bool {
 	return pl.job.Checkpoint > 0 && !pl.began.IsZero() && now.Sub(pl.began) > tuning.Seconds(p.t.SettledS)
 }
 
-func (p *Part) mayOutrank(j *Job) bool { return j.covered || j.Rank.Level() > 0 }
+func (p *Partition) mayOutrank(j *Job) bool { return j.covered || j.Rank.Level() > 0 }
 
 // yields tells whether a placement may be stopped for a job.
-func (p *Part) yields(pl *Placement, j *Job) bool {
+func (p *Partition) yields(pl *Placement, j *Job) bool {
 	o := pl.job
 	if o == j || pl.over || pl.shielded && (pl.began.IsZero() || p.now.Sub(pl.began) < tuning.Seconds(p.t.SettledS)) {
 		return false
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -93,9 +93,9 @@
 	return max(1, int(valueKB*1024-64)/(each+len(typ)+len(zone)))
 }
 
-// HireRecord is written before the cloud is called, so that a rental whose
+// RentalRecord is written before the cloud is called, so that a rental whose
 // answer is lost can be repeated under the same name by any leader.
-type HireRecord struct {
+type RentalRecord struct {
 	Type  string `cbor:"type"`
 	Zone  string `cbor:"zone"`
 	Spot  bool   `cbor:"spot"`
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -22,7 +22,7 @@
 
 // Report takes in a worker's report and gives the commands for it. fresh tells
 // whether the state service has been reached lately; without, nothing starts.
-func (p *Part) Report(r *wire.Report, now time.Time, fresh bool) (Verdict, wire.ReportReply) {
+func (p *Partition) Report(r *wire.Report, now time.Time, fresh bool) (Verdict, wire.ReportReply) {
 	var reply wire.ReportReply
 	m := p.machines[r.Machine]
 	if m == nil || m.Rec.Free {
@@ -31,7 +31,7 @@
 	if r.Token > m.token {
 		return Outranked, reply
 	}
-	if m.silent && r.Session <= m.session {
+	if m.leaseExpired && r.Session <= m.session {
 		// Its lease has surely run out, after which its session rises: what still
 		// comes of the old one is a late copy, and the machine may be dead.
 		return Stale, reply
@@ -53,8 +53,8 @@
 	}
 	m.session, m.seq, m.reported = r.Session, r.Seq, r.Seq
 	m.answered, m.heard = now, true
-	if m.silent {
-		m.silent = false
+	if m.leaseExpired {
+		m.leaseExpired = false
 		p.room++
 	}
 	if n := r.Notice != nil; n != m.notice {
@@ -65,11 +65,11 @@
 	if acked {
 		p.ack(m, now)
 	}
-	switch unheard := !acked || m.doubt; {
+	switch unheard := !acked || m.unconfirmed; {
 	case !unheard:
-		m.deaf = time.Time{}
-	case m.deaf.IsZero():
-		m.deaf = now
+		m.unresponsiveSince = time.Time{}
+	case m.unresponsiveSince.IsZero():
+		m.unresponsiveSince = now
 	}
 	reply.Token = m.token
 	p.takeTasks(m, r, acked, now)
@@ -83,7 +83,7 @@
 // listen notices a machine that is heard but does not hear: its lease ran out
 // although all its reports were answered for as long as the lease lasts. Nothing is
 // placed there until it has shown a token that it can have from an answer only.
-func (p *Part) listen(m *Machine, r *wire.Report, now time.Time) {
+func (p *Partition) listen(m *Machine, r *wire.Report, now time.Time) {
 	lease := tuning.Seconds(p.s.Cluster.Workers.LeaseS)
 	if m.run.IsZero() || now.Sub(m.answered) > lease {
 		m.run = now
@@ -91,15 +91,15 @@
 	if r.Session <= m.session {
 		return
 	}
-	if m.spoken && !m.doubt && now.Sub(m.run) >= lease {
-		m.doubt, m.doubtToken = true, m.token
+	if m.spoken && !m.unconfirmed && now.Sub(m.run) >= lease {
+		m.unconfirmed, m.unconfirmedToken = true, m.token
 		p.room++
 	}
 	m.run = now
 }
 
 // takeTasks compares the worker's list with the placements.
-func (p *Part) takeTasks(m *Machine, r *wire.Report, acked bool, now time.Time) {
+func (p *Partition) takeTasks(m *Machine, r *wire.Report, acked bool, now time.Time) {
 	m.lists++
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -176,7 +176,7 @@
 }
 
 // exited takes in a task's end.
-func (p *Part) exited(pl *Placement, t *wire.TaskReport, now time.Time) {
+func (p *Partition) exited(pl *Placement, t *wire.TaskReport, now time.Time) {
 	j, m := pl.job, pl.machine
 	if t.Cause != wire.CauseStopped && t.Cause != wire.CauseNoRoom && t.Cause != wire.CauseBusy && t.Cause != wire.CauseUnknown {
 		pl.fetched = true // it has waited or run, which takes the image
@@ -204,7 +204,7 @@
 
 // finishGang ends a gang: its tasks complete together, so the others are done even if
 // their machines are lost before they can say so.
-func (p *Part) finishGang(j *Job) {
+func (p *Partition) finishGang(j *Job) {
 	for i := range j.tasks {
 		p.finish(j, i)
 	}
@@ -213,7 +213,7 @@
 	}
 }
 
-func (p *Part) finish(j *Job, task int) {
+func (p *Partition) finish(j *Job, task int) {
 	if j.tasks[task] == done {
 		return
 	}
@@ -228,7 +228,7 @@
 
 // failed notes an error: of the job if it fails on several machines, of the
 // machine if several jobs fail there.
-func (p *Part) failed(j *Job, m *Machine, now time.Time) {
+func (p *Partition) failed(j *Job, m *Machine, now time.Time) {
 	if j.failedOn == nil {
 		j.failedOn = map[string]bool{}
 	}
@@ -250,7 +250,7 @@
 }
 
 // drain lets what can save do so before the cloud takes the machine.
-func (p *Part) drain(m *Machine, now time.Time) {
+func (p *Partition) drain(m *Machine, now time.Time) {
 	for _, k := range sortedAttempts(m.places) {
 		pl := m.places[k]
 		if pl == nil || pl.kill != nil || pl.over {
@@ -268,7 +268,7 @@
 
 // stopWhole stops a placement with the grace to save, and with it its gang:
 // all of a gang's tasks must be told together.
-func (p *Part) stopWhole(pl *Placement, now time.Time) {
+func (p *Partition) stopWhole(pl *Placement, now time.Time) {
 	j := pl.job
 	grace := 0.0
 	// A task that is stopped without grace falls back by half a checkpoint
@@ -288,7 +288,7 @@
 }
 
 // commands composes the answer to a report.
-func (p *Part) commands(m *Machine, r *wire.Report, now time.Time, fresh bool) []wire.Command {
+func (p *Partition) commands(m *Machine, r *wire.Report, now time.Time, fresh bool) []wire.Command {
 	out := []wire.Command{}
 	for i := range r.Tasks {
 		if len(out) >= tuning.MaxCommands {
@@ -300,7 +300,7 @@
 		switch {
 		case t.State == wire.Exited:
 			// Unknown exited tasks are those whose end is already on record.
-			if c, ok := m.clearing[k]; (!ok || c.ready()) && !m.ordering && !m.doubt {
+			if c, ok := m.clearing[k]; (!ok || c.ready()) && !m.ordering && !m.unconfirmed {
 				out = append(out, wire.Command{Op: wire.Forget, Task: t.Task, Attempt: t.Attempt})
 			}
 		case pl == nil:
@@ -311,7 +311,7 @@
 			pl.kill.told = true
 		}
 	}
-	if !fresh || !m.acked || m.notice || m.ordering || m.doubt {
+	if !fresh || !m.acked || m.notice || m.ordering || m.unconfirmed {
 		return out
 	}
 	for _, k := range p.startables(m) {
@@ -330,7 +330,7 @@
 
 // grace is what a stopped task still gets: a second order without grace ends a
 // task that does not come to an end.
-func (p *Part) grace(pl *Placement, now time.Time) float64 {
+func (p *Partition) grace(pl *Placement, now time.Time) float64 {
 	limit := pl.kill.grace + 2*p.s.Cluster.Workers.ReportS + p.t.MarginS
 	if now.Sub(pl.kill.at) > tuning.Seconds(limit) {
 		return 0
@@ -338,188 +338,11 @@
 	return pl.kill.grace
 }
 
-// Sweep handles what passes with time alone: silent machines, and starts whose
-// order is withdrawn.
-func (p *Part) Sweep(now time.Time) {
-	lease := tuning.Seconds(p.s.Cluster.Workers.LeaseS*(1+p.t.Drift) + p.t.MarginS)
-	for _, id := range p.order {
-		m := p.machines[id]
-		// Only an owner that has itself spoken with the worker under its token
-		// knows when the lease was last renewed; after a takeover the
-		// machine's return must be confirmed instead.
-		if !m.spoken || m.silent || now.Sub(m.answered) <= lease {
-			continue
-		}
-		m.silent, m.lost = true, now
-		p.room++
-		for _, k := range sortedAttempts(m.places) {
-			if pl := m.places[k]; pl != nil {
-				p.requeue(pl, now)
-			}
-		}
-	}
-	// A start that was sent but never seen, and is to be stopped, is gone once
-	// a newer report does not show it. An answer to an order would not do: the
-	// start may be under way in the answer to a report.
-	for _, id := range p.order {
-		m := p.machines[id]
-		if m.ordering || m.doubt || !m.acked {
-			continue
-		}
-		gone := func(pl *Placement) bool {
-			return pl != nil && pl.kill != nil && !pl.seen && pl.sent && pl.session == m.session && m.reported > pl.sentSeq
-		}
-		some := false
-		for _, pl := range m.places {
-			some = some || gone(pl)
-		}
-		if !some {
-			continue
-		}
-		for _, k := range sortedAttempts(m.places) {
-			if pl := m.places[k]; gone(pl) {
-				p.requeue(pl, now)
-			}
-		}
-	}
-}
-
-// Seizure is an empty order, which raises a machine's token, so that an earlier
-// owner's commands can no longer take effect.
-func (p *Part) Seizure(id string) (wire.Orders, bool) {
-	m := p.machines[id]
-	if m == nil || m.Rec.Free {
-		return wire.Orders{}, false
-	}
-	return wire.Orders{Token: m.token, Session: m.session, Commands: []wire.Command{}}, true
-}
-
-// Unheard lists the machines with work of an earlier owner that have not shown the
-// present token yet.
-func (p *Part) Unheard() []string {
-	var out []string
-	for _, id := range p.order {
-		if m := p.machines[id]; !m.acked && !m.spoken && len(m.places) > 0 {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// Urgent lists machines that should hear orders before their next report. fresh: as with
-// Report; without, only stops of cancelled jobs are orders.
-func (p *Part) Urgent(fresh bool) []string {
-	var out []string
-	for _, id := range p.order {
-		m := p.machines[id]
-		if !m.acked || m.silent || m.ordering || m.doubt {
-			continue
-		}
-		for _, pl := range m.places {
-			if pl.stops(fresh) || (fresh && !pl.sent && !m.notice && p.startable(pl)) {
-				out = append(out, id)
-				break
-			}
-		}
-	}
-	return out
-}
-
-// stops tells whether the placement's stop is still to be ordered.
-func (pl *Placement) stops(fresh bool) bool {
-	return pl.kill != nil && !pl.kill.told && (fresh || pl.job.Cancelled)
-}
-
-// startable tells whether a placement's start may leave: only after it is committed.
-func (p *Part) startable(pl *Placement) bool {
-	return !pl.seen && pl.kill == nil && !pl.over && !pl.job.Cancelled &&
-		pl.session == pl.machine.session && pl.chunk().committed >= pl.version
-}
-
-// startables are the machine's placements whose starts may leave, in order.
-func (p *Part) startables(m *Machine) []attempt {
-	for _, pl := range m.places {
-		if p.startable(pl) {
-			return slices.DeleteFunc(sortedAttempts(m.places), func(k attempt) bool { return !p.startable(m.places[k]) })
-		}
-	}
-	return nil
-}
-
-// Orders gives the starts and stops to send straight to a machine. Until the
-// order is answered nothing else starts or is cleared there: a copy that is held
-// back on the way could start a task once more after it was cleared.
-func (p *Part) Orders(id string, fresh bool) (wire.Orders, bool) {
-	m := p.machines[id]
-	if m == nil || m.ordering || m.doubt || !m.acked {
-		return wire.Orders{}, false
-	}
-	o := wire.Orders{Token: m.token, Session: m.session}
-	for _, k := range sortedAttempts(m.places) {
-		if len(o.Commands) >= tuning.MaxCommands {
-			break
-		}
-		pl := m.places[k]
-		switch {
-		case pl.stops(fresh):
-			pl.kill.told = true
-			o.Commands = append(o.Commands, wire.Command{Op: wire.Stop, Task: k.task, Attempt: k.try, Grace: pl.kill.grace})
-		case fresh && !pl.sent && !m.notice && p.startable(pl):
-			// A start sent in the answer to a report is repeated only there.
-			pl.sent, pl.sentSeq, pl.direct = true, m.reported, m.token
-			o.Commands = append(o.Commands, wire.Command{Op: wire.Start, Task: k.task, Attempt: k.try})
-			m.ordering = true
-		}
-	}
-	return o, len(o.Commands) > 0
-}
-
-// OrderOutcome is what became of an order.
-type OrderOutcome int
-
-// The outcomes of an order.
-const (
-	OrderExecuted OrderOutcome = iota
-	OrderDropped               // refused by the worker, or never left
-	OrderUnknown
-)
-
-// Ordered notes what became of an order. Without an answer its starts may
-// still be carried out as long as token and session match, so the token has to
-// be raised before anything is concluded from the tasks' absence.
-func (p *Part) Ordered(o wire.Orders, id string, outcome OrderOutcome) {
-	m := p.machines[id]
-	if m == nil {
-		return
-	}
-	for _, c := range o.Commands {
-		pl := m.places[attempt{c.Task, c.Attempt}]
-		switch {
-		case pl == nil:
-		case c.Op == wire.Stop && outcome == OrderDropped && pl.kill != nil:
-			pl.kill.told = false
-		case c.Op != wire.Start || !m.ordering:
-		case outcome == OrderExecuted:
-			pl.seen = true
-		case outcome == OrderDropped:
-			// One that is to be stopped by now is not sent again; the next report shows
-			// that it is not there. Taken as not sent, nothing would ever free it.
-			pl.sent, pl.direct = pl.kill != nil, 0
-		default:
-			m.doubt, m.doubtToken = true, m.token
-		}
-	}
-	if m.ordering {
-		m.ordering = false
-		p.room++
-	}
-}
-
-// Doubtful lists machines whose records must be rewritten to raise their tokens.
-func (p *Part) Doubtful() []string {
+// Unconfirmed lists machines whose records must be rewritten to raise their tokens.
+func (p *Partition) Unconfirmed() []string {
 	var out []string
 	for _, id := range p.order {
-		if m := p.machines[id]; m.doubt && m.token == m.doubtToken {
+		if m := p.machines[id]; m.unconfirmed && m.token == m.unconfirmedToken {
 			out = append(out, id)
 		}
 	}
@@ -528,7 +351,7 @@
 
 // Heard takes in a worker's answer to an order. It does not renew the lease,
 // which only answers to reports do.
-func (p *Part) Heard(r *wire.Report, now time.Time) {
+func (p *Partition) Heard(r *wire.Report, now time.Time) {
 	m := p.machines[r.Machine]
 	if m == nil || r.Token > m.token || r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return
@@ -547,14 +370,14 @@
 }
 
 // ack notes that the worker has seen the present token.
-func (p *Part) ack(m *Machine, now time.Time) {
+func (p *Partition) ack(m *Machine, now time.Time) {
 	if !m.spoken {
 		// Answers of earlier owners are dropped from now on, so the lease was
 		// last renewed no later than this.
 		m.spoken, m.answered = true, now
 	}
-	if m.doubt && m.token > m.doubtToken {
-		m.doubt = false
+	if m.unconfirmed && m.token > m.unconfirmedToken {
+		m.unconfirmed = false
 		p.room++
 	}
 	if !m.acked {
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -15,7 +15,7 @@
 const demandBytes = 130
 
 // Summary sums up the part for the leader.
-func (p *Part) Summary(now time.Time) Summary {
+func (p *Partition) Summary(now time.Time) Summary {
 	s := Summary{Booked: map[string]float64{}, Firm: map[string]float64{}, Machines: map[string]MachineNote{}}
 	for _, id := range p.order {
 		m := p.machines[id]
@@ -37,7 +37,7 @@
 		}
 		// A silent machine may hang or be cut off, and be back with its images sooner than
 		// another could boot in its place; if it is gone, the cloud's list tells.
-		if m.sick || (m.silent && now.Sub(m.lost) > tuning.Seconds(m.typ.BootS)) {
+		if m.sick || (m.leaseExpired && now.Sub(m.leaseExpiredAt) > tuning.Seconds(m.typ.BootS)) {
 			note |= NoteBad
 		}
 		w := p.s.Cluster.Workers
@@ -49,7 +49,7 @@
 		case !m.spoken && now.Sub(m.adopted) > patience:
 			// Booting still, or cut off: the cloud's list tells.
 			note |= NoteUnheard
-		case !m.deaf.IsZero() && now.Sub(m.deaf) > patience:
+		case !m.unresponsiveSince.IsZero() && now.Sub(m.unresponsiveSince) > patience:
 			// It reports, but neither answers nor orders arrive there.
 			note |= NoteBad
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -21,7 +21,7 @@
 
 // Errors that callers tell apart.
 var (
-	// ErrNotFound: the key or the hold does not exist.
+	// ErrNotFound: the key or the lease does not exist.
 	ErrNotFound = errors.New("state: not found")
 	// ErrRefused: the request was certainly not executed.
 	ErrRefused = errors.New("state: refused")
@@ -29,8 +29,8 @@
 	ErrUnknown = errors.New("state: outcome unknown")
 	// ErrCompacted: a watch began too far back; read the keys again.
 	ErrCompacted = errors.New("state: revision too old")
-	// ErrNoHold: a put named a hold that has ended.
-	ErrNoHold = errors.New("state: hold has ended")
+	// ErrNoLease: a put named a lease that has ended.
+	ErrNoLease = errors.New("state: lease has ended")
 )
 
 // Conflict says which conditions of a transaction failed.
@@ -163,7 +163,7 @@
 		var p wire.Problem
 		_ = wire.ReadReply(resp.Body, &p)
 		if p.Error == "no such lease" {
-			return ErrNoHold
+			return ErrNoLease
 		}
 		return fmt.Errorf("state: status %d %s", resp.StatusCode, p.Error)
 	}
@@ -260,21 +260,21 @@
 // Revision is the highest that a commit of this node was answered with.
 func (c *Client) Revision() uint64 { return c.rev.Load() }
 
-// Grant makes a hold. Holds are never kept back by the budget: without them
+// GrantLease makes a lease. Leases are never kept back by the budget: without them
 // everything else is lost.
-func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
-	var r wire.HoldReply
-	err := c.call(ctx, http.MethodPost, "/holds", wire.HoldRequest{LifeMS: life.Milliseconds()}, &r)
-	return r.Hold, err
+func (c *Client) GrantLease(ctx context.Context, life time.Duration) (uint64, error) {
+	var r wire.LeaseReply
+	err := c.call(ctx, http.MethodPost, "/holds", wire.LeaseRequest{LifeMS: life.Milliseconds()}, &r)
+	return r.Lease, err
 }
 
-// Extend renews a hold.
-func (c *Client) Extend(ctx context.Context, hold uint64) error {
+// RenewLease renews a lease.
+func (c *Client) RenewLease(ctx context.Context, hold uint64) error {
 	return c.call(ctx, http.MethodPost, "/holds/"+strconv.FormatUint(hold, 10)+"/extend", nil, nil)
 }
 
-// End ends a hold at once.
-func (c *Client) End(ctx context.Context, hold uint64) error {
+// EndLease ends a lease at once.
+func (c *Client) EndLease(ctx context.Context, hold uint64) error {
 	return c.call(ctx, http.MethodDelete, "/holds/"+strconv.FormatUint(hold, 10), nil, nil)
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -159,11 +159,11 @@
 	// IdleOrders: connections to workers that are kept open between orders.
 	IdleOrders = 64
 	// OwnSockets: sockets for the state service, the cloud and the other controllers,
-	// so that no crowd of users or workers keeps a controller from renewing its hold.
+	// so that no crowd of users or workers keeps a controller from renewing its lease.
 	OwnSockets = 100
-	// SeizeTimeout: for an order that only raises a token, and for connecting to a
+	// TakeoverTimeout: for an order that only raises a token, and for connecting to a
 	// worker at all; one that is there answers in milliseconds.
-	SeizeTimeout = time.Second
+	TakeoverTimeout = time.Second
 	// ReadTimeout: for a request's body; slow senders must not hold sockets.
 	ReadTimeout = 10 * time.Second
 	// IdleTimeout: for a connection without requests. Workers and users that are there
--- a/internal/wire/outside.go
+++ b/internal/wire/outside.go
@@ -59,10 +59,10 @@
 
 // Item is a key with its value in the state service.
 type Item struct {
-	Key   string `cbor:"key"`
-	Value Raw    `cbor:"value"`
-	Stamp uint64 `cbor:"stamp"`
-	Hold  uint64 `cbor:"hold,omitempty"`
+	Key      string `cbor:"key"`
+	Value    Raw    `cbor:"value"`
+	Revision uint64 `cbor:"stamp"`
+	Lease    uint64 `cbor:"hold,omitempty"`
 }
 
 // Page is a page of keys; Missing reads of single keys carry only Revision.
@@ -74,15 +74,15 @@
 
 // Cond demands that a key still has a version; 0: that it does not exist.
 type Cond struct {
-	Key   string `cbor:"key"`
-	Stamp uint64 `cbor:"stamp"`
+	Key      string `cbor:"key"`
+	Revision uint64 `cbor:"stamp"`
 }
 
 // Write puts or deletes one key.
 type Write struct {
 	Put    string `cbor:"put,omitempty"`
 	Value  any    `cbor:"value,omitempty"`
-	Hold   uint64 `cbor:"hold,omitempty"`
+	Lease  uint64 `cbor:"hold,omitempty"`
 	Delete string `cbor:"delete,omitempty"`
 }
 
@@ -98,22 +98,22 @@
 	Failed   []string `cbor:"failed"`
 }
 
-// HoldRequest asks for a lease; HoldReply names it.
-type HoldRequest struct {
+// LeaseRequest asks for a lease; LeaseReply names it.
+type LeaseRequest struct {
 	LifeMS int64 `cbor:"lifeMs"`
 }
 
-// HoldReply names a lease.
-type HoldReply struct {
-	Hold uint64 `cbor:"hold"`
+// LeaseReply names a lease.
+type LeaseReply struct {
+	Lease uint64 `cbor:"hold"`
 }
 
 // Event is one change of a key.
 type Event struct {
-	Put    string `cbor:"put"`
-	Delete string `cbor:"delete"`
-	Value  Raw    `cbor:"value"`
-	Stamp  uint64 `cbor:"stamp"`
+	Put      string `cbor:"put"`
+	Delete   string `cbor:"delete"`
+	Value    Raw    `cbor:"value"`
+	Revision uint64 `cbor:"stamp"`
 }
 
 // WatchReply holds the changes since a revision.
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -26,7 +26,7 @@
 
 // New makes a client that waits for an answer for the given time at most.
 func New(n transport.Net, timeout time.Duration) *Client {
-	return &Client{timeout: timeout, http: transport.Client(n, 1, tuning.IdleOrders, min(timeout, tuning.SeizeTimeout))}
+	return &Client{timeout: timeout, http: transport.Client(n, 1, tuning.IdleOrders, min(timeout, tuning.TakeoverTimeout))}
 }
 
 // Order sends orders. executed is true only if the worker carried them out; on
