--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,14 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// StateLimits are the limits of the state service.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`       // requests per second
+	WriteRPS float64 `toml:"write_rps"` // puts and deletes per second
+	ValueKB  float64 `toml:"value_kb"`  // KiB in a value
+	TxnOps   int     `toml:"txn_ops"`   // puts and deletes in a transaction
+}
+
 // Settings are what the platform hands over.
 type Settings struct {
 	Node       string   `toml:"node"`
@@ -49,10 +57,10 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			StateLimits
+			// Next holds the limits that will be in force at some later moment; nil
+			// if none are announced, and a limit of 0 stays as it is.
+			Next *StateLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -139,8 +147,11 @@
 			return fmt.Errorf("%s: must be above 0", v.name)
 		}
 	}
-	if c.State.TxnOps < 3 {
-		return fmt.Errorf("cluster.state.txn_ops: must be at least 3")
+	if c.State.TxnOps < minTxnOps {
+		return fmt.Errorf("cluster.state.txn_ops: must be at least %d", minTxnOps)
+	}
+	if err := checkNext(c.State.Next); err != nil {
+		return err
 	}
 	if c.Limits.MaxSockets < 50 {
 		return fmt.Errorf("cluster.machine_limits.max_sockets: must be at least 50")
@@ -148,6 +159,52 @@
 	return nil
 }
 
+// minTxnOps is the fewest changes that a transaction must allow: the end of a job or a
+// rental takes two, and a third keeps it from being alone.
+const minTxnOps = 3
+
+// checkNext checks limits that are announced; 0 stands for one that does not change.
+func checkNext(next *StateLimits) error {
+	if next == nil {
+		return nil
+	}
+	for _, v := range []struct {
+		name  string
+		value float64
+	}{{"rps", next.RPS}, {"write_rps", next.WriteRPS}, {"value_kb", next.ValueKB}} {
+		if !(v.value >= 0) {
+			return fmt.Errorf("cluster.state.next.%s: must not be below 0", v.name)
+		}
+	}
+	if next.TxnOps != 0 && next.TxnOps < minTxnOps {
+		return fmt.Errorf("cluster.state.next.txn_ops: must be at least %d", minTxnOps)
+	}
+	return nil
+}
+
+// WriteLimits are the limits that whatever is written must keep to: the present ones, or
+// those announced where they are lower, since they may be in force at any moment.
+func (s *Settings) WriteLimits() StateLimits {
+	limits := s.Cluster.State.StateLimits
+	next := s.Cluster.State.Next
+	if next == nil {
+		return limits
+	}
+	if next.RPS > 0 {
+		limits.RPS = min(limits.RPS, next.RPS)
+	}
+	if next.WriteRPS > 0 {
+		limits.WriteRPS = min(limits.WriteRPS, next.WriteRPS)
+	}
+	if next.ValueKB > 0 {
+		limits.ValueKB = min(limits.ValueKB, next.ValueKB)
+	}
+	if next.TxnOps > 0 {
+		limits.TxnOps = min(limits.TxnOps, next.TxnOps)
+	}
+	return limits
+}
+
 // Team finds a team's settings.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Cluster.Teams {
--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -89,9 +89,9 @@
 	const machines = 1000
 	c := aloneController(t)
 	assign := func(owner string, nodes ...string) (of map[string]string, count map[string]int) {
-		c.cluster.nodes = map[string]uint64{}
+		c.cluster.nodes = map[string]nodeEntry{}
 		for _, n := range nodes {
-			c.cluster.nodes[n] = 1
+			c.cluster.nodes[n] = nodeEntry{stamp: 1}
 		}
 		of, count = map[string]string{}, map[string]int{}
 		for i := range machines {
@@ -173,10 +173,10 @@
 				c.types = dayTypes
 				if gone {
 					rec := core.JobRecord{Job: work(1, 1, 1, 10), Phase: wire.Queued, At: 1}
-					chunk := core.FirstChunk(&rec)
+					chunk := core.FirstChunk(&rec, core.FirstFormat, c.settings)
 					chunk.Live = []core.LiveRecord{{Task: 0, Try: 1, Machine: "m-1", Session: 1}}
 					write(wire.Write{Put: core.JobKey(rec.Job.ID), Value: rec})
-					write(wire.Write{Put: core.ChunkKey(0, rec.Job.ID, 0), Value: chunk})
+					write(wire.Write{Put: core.FirstChunkKey(0, rec.Job.ID), Value: chunk})
 					c.cluster.apply(key, must(wire.Marshal(g)), write(wire.Write{Put: key, Value: g}), false)
 				}
 				hold, err := c.store.GrantLease(ctx, 4*time.Second)
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -31,7 +31,7 @@
 		rec.Live = append(rec.Live, core.LiveRecord{Task: i, Try: 1, Machine: "m-000001", Session: 1})
 	}
 	p.SetMachine("m-000001", g.Machines["m-000001"], 5, time.Now())
-	p.Load([]core.LoadedChunk{{Job: j.ID, Stamp: 20, Record: rec}}, nil)
+	p.Load([]core.LoadedChunk{{Job: j.ID, Name: "0", Stamp: 20, Record: rec}}, nil)
 	o.partition, o.knownUntil = p, time.Now().Add(time.Hour)
 	c.owned[0] = o
 	r := wire.Report{Machine: "m-000001", Addr: "10.1.0.1:9000", Type: "big", Zone: "a", Session: 1, Token: 10}
--- a/internal/controller/cluster.go
+++ b/internal/controller/cluster.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -21,6 +22,7 @@
 const (
 	clusterPrefix = "c/"
 	leadKey       = "c/lead"
+	levelKey      = "c/level"
 	nodePrefix    = "c/n/"
 	partPrefix    = "c/p/"
 	machinePrefix = "c/m/"
@@ -33,6 +35,10 @@
 // notesKey is the key of one of the records of a part's notes on its machines.
 func notesKey(part, i int) string { return summaryKey(part) + "/" + strconv.Itoa(i) }
 
+// demandsKey is the key of one of the records of a part's waiting work, beyond what its
+// summary holds.
+func demandsKey(part, i int) string { return summaryKey(part) + "/w" + strconv.Itoa(i) }
+
 type owner struct {
 	node  string
 	stamp uint64
@@ -44,6 +50,12 @@
 	stamp uint64 // of the group
 }
 
+// nodeEntry is what a live node says of itself.
+type nodeEntry struct {
+	level core.FeatureLevel
+	stamp uint64
+}
+
 type groupEntry struct {
 	rec   core.GroupRecord
 	stamp uint64
@@ -61,7 +73,8 @@
 	loaded     bool
 	lead       owner
 	partitions map[int]owner
-	nodes      map[string]uint64
+	nodes      map[string]nodeEntry
+	level      core.FeatureLevel
 	groups     map[string]groupEntry
 	machines   map[string]machineEntry
 	rentals    map[string]rentalEntry
@@ -69,10 +82,11 @@
 	changed    chan struct{} // closed and replaced at every change
 	onChange   func(machine string, e machineEntry, gone bool)
 	onOwner    func(part int, o owner)
+	onLevel    func(level core.FeatureLevel)
 }
 
 func newCluster() *cluster {
-	return &cluster{partitions: map[int]owner{}, nodes: map[string]uint64{}, groups: map[string]groupEntry{}, machines: map[string]machineEntry{},
+	return &cluster{partitions: map[int]owner{}, nodes: map[string]nodeEntry{}, groups: map[string]groupEntry{}, machines: map[string]machineEntry{},
 		rentals: map[string]rentalEntry{}, changed: make(chan struct{})}
 }
 
@@ -103,8 +117,14 @@
 		if gone {
 			delete(c.nodes, key[len(nodePrefix):])
 		} else {
-			c.nodes[key[len(nodePrefix):]] = stamp
+			var r core.NodeRecord
+			if err := wire.Unmarshal(value, &r); err != nil {
+				slog.Error("record not understood", "key", key, "err", err)
+			}
+			c.nodes[key[len(nodePrefix):]] = nodeEntry{r.Level, stamp}
 		}
+	case key == levelKey:
+		after = c.applyLevel(value)
 	case strings.HasPrefix(key, machinePrefix):
 		after = c.applyGroup(key[len(machinePrefix):], value, stamp, gone)
 	case strings.HasPrefix(key, rentalPrefix):
@@ -126,6 +146,26 @@
 	}
 }
 
+// applyLevel takes in the feature level, which never goes down.
+func (c *cluster) applyLevel(value wire.Raw) func() {
+	var r core.LevelRecord
+	if wire.Unmarshal(value, &r) != nil || r.Level <= c.level {
+		return nil
+	}
+	c.level = r.Level
+	if c.onLevel == nil {
+		return nil
+	}
+	return func() { c.onLevel(r.Level) }
+}
+
+// featureLevel is the cluster's feature level as far as this node knows.
+func (c *cluster) featureLevel() core.FeatureLevel {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.level
+}
+
 // applyGroup takes in a group of machines, and returns what is to be told of them.
 func (c *cluster) applyGroup(name string, value wire.Raw, stamp uint64, gone bool) func() {
 	old := c.groups[name]
@@ -172,9 +212,16 @@
 	}
 }
 
+// groupChange is a change of a group's record, to be committed as a whole: one that
+// outgrows a value is divided into several.
+type groupChange struct {
+	conds []wire.Cond
+	then  []wire.Write
+}
+
 // regroup builds the writes that change machines' records; nil removes one. Groups
-// that are not in the copy any more are left out.
-func (c *cluster) regroup(changes map[string]*core.MachineRecord) (conds []wire.Cond, then []wire.Write) {
+// that are not in the copy any more are left out. No group is larger than the limit.
+func (c *cluster) regroup(changes map[string]*core.MachineRecord, limit int) []groupChange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := map[string]core.GroupRecord{}
@@ -196,16 +243,68 @@
 			delete(g.Machines, id)
 		}
 	}
+	var out []groupChange
 	for _, name := range order {
-		key := machinePrefix + name
-		conds = append(conds, wire.Cond{Key: key, Revision: c.groups[name].stamp})
-		if len(next[name].Machines) == 0 {
-			then = append(then, wire.Write{Delete: key})
-		} else {
-			then = append(then, wire.Write{Put: key, Value: next[name]})
+		out = append(out, changeGroup(name, c.groups[name].stamp, next[name], limit))
+	}
+	return out
+}
+
+// changeGroup builds the writes of one group.
+func changeGroup(name string, stamp uint64, g core.GroupRecord, limit int) groupChange {
+	key := machinePrefix + name
+	change := groupChange{conds: []wire.Cond{{Key: key, Revision: stamp}}}
+	if len(g.Machines) == 0 {
+		change.then = []wire.Write{{Delete: key}}
+		return change
+	}
+	pieces := g.Divide(limit)
+	for _, piece := range pieces[1:] {
+		cond, put := newGroup(piece)
+		change.conds, change.then = append(change.conds, cond), append(change.then, put)
+	}
+	change.then = append(change.then, wire.Write{Put: key, Value: pieces[0]})
+	return change
+}
+
+// groupLimit is the size of the largest group that may be written, in bytes. Programs of
+// the first format could take a machine for gone for a moment when its group is divided,
+// so that none is as long as there may be any.
+func (c *Controller) groupLimit() int {
+	if c.cluster.featureLevel() < core.SizedChunks {
+		return int(c.settings.Cluster.State.ValueKB * 1024)
+	}
+	return int(c.limits.ValueKB * 1024)
+}
+
+// inOrder sorts changes so that they can be taken in one after the other: by revision, and
+// the pieces of a divided group, whose names are higher, before the rest of it. Else the
+// machines of the pieces would be missing in between, and be taken for gone.
+func inOrder(events []wire.Event) []wire.Event {
+	out := slices.Clone(events)
+	slices.SortStableFunc(out, func(a, b wire.Event) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(b.Put+b.Delete, a.Put+a.Delete))
+	})
+	return out
+}
+
+// newGroup is the write of a new group, named after its first machine.
+func newGroup(g core.GroupRecord) (wire.Cond, wire.Write) {
+	key := machinePrefix + slices.Min(sortedIDs(g.Machines))
+	return wire.Cond{Key: key, Revision: 0}, wire.Write{Put: key, Value: g}
+}
+
+// oversized names a machine of each group that outgrows the limit.
+func (c *cluster) oversized(limit int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, name := range sortedIDs(c.groups) {
+		if g := c.groups[name].rec; g.Bytes() > limit {
+			out = append(out, slices.Min(sortedIDs(g.Machines)))
 		}
 	}
-	return conds, then
+	return out
 }
 
 func sortedIDs[V any](m map[string]V) []string {
@@ -226,7 +325,8 @@
 // reset replaces the copy by a fresh listing.
 func (c *cluster) reset(items []wire.Item, rev uint64) {
 	have := map[string]bool{}
-	for _, it := range items {
+	// The highest names first, as in inOrder.
+	for _, it := range slices.Backward(items) {
 		have[it.Key] = true
 		c.apply(it.Key, it.Value, it.Revision, false)
 	}
@@ -306,7 +406,7 @@
 			transport.Pause(ctx, 300*time.Millisecond)
 			continue
 		}
-		for _, e := range r.Events {
+		for _, e := range inOrder(r.Events) {
 			event(e)
 		}
 		rev = max(rev, r.Revision)
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -51,7 +51,16 @@
 		o.mu.Unlock()
 		return true
 	}
-	if errors.Is(err, store.ErrRefused) {
+	switch {
+	case errors.Is(err, store.ErrRefused):
+		transport.Pause(o.ctx, 100*time.Millisecond)
+		return false
+	case errors.Is(err, store.ErrInvalid):
+		// Not carried out, and never will be as it is: the next one has to be smaller.
+		slog.Error("commit over the state service's limits", "part", o.index, "changes", len(b.Txn.Then), "err", err)
+		o.mu.Lock()
+		o.partition.LowerLimits()
+		o.mu.Unlock()
 		transport.Pause(o.ctx, 100*time.Millisecond)
 		return false
 	}
@@ -128,46 +137,74 @@
 // rewrite changes machines' records under the fence of the part's owner or the
 // leader; nil removes one.
 func (c *Controller) rewrite(ctx context.Context, fence wire.Cond, changes map[string]*core.MachineRecord) error {
-	conds, then := c.cluster.regroup(changes)
-	for len(then) > 0 {
-		n := min(len(then), c.settings.Cluster.State.TxnOps, max(1, int(tuning.TxnBytes/(c.settings.Cluster.State.ValueKB*1024))))
-		rev, err := c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{fence}, conds[:n]...), Then: then[:n]})
-		if err != nil {
-			return err
-		}
-		for _, w := range then[:n] {
-			if w.Put != "" {
-				c.cluster.apply(w.Put, must(wire.Marshal(w.Value)), rev, false)
-			} else {
-				c.cluster.apply(w.Delete, nil, rev, true)
+	limit := c.groupLimit()
+	most := min(c.limits.TxnOps, max(1, tuning.TxnBytes/limit))
+	var next groupChange
+	for _, change := range c.cluster.regroup(changes, limit) {
+		if len(next.then) > 0 && len(next.then)+len(change.then) > most {
+			if err := c.commitGroups(ctx, fence, next); err != nil {
+				return err
 			}
+			next = groupChange{}
+		}
+		next.conds = append(next.conds, change.conds...)
+		next.then = append(next.then, change.then...)
+	}
+	return c.commitGroups(ctx, fence, next)
+}
+
+// commitGroups commits changes of groups, and takes them into the copy in their order.
+func (c *Controller) commitGroups(ctx context.Context, fence wire.Cond, change groupChange) error {
+	if len(change.then) == 0 {
+		return nil
+	}
+	rev, err := c.store.Commit(ctx, wire.Txn{If: append([]wire.Cond{fence}, change.conds...), Then: change.then})
+	if err != nil {
+		return err
+	}
+	for _, w := range change.then {
+		if w.Put != "" {
+			c.cluster.apply(w.Put, must(wire.Marshal(w.Value)), rev, false)
+		} else {
+			c.cluster.apply(w.Delete, nil, rev, true)
 		}
-		conds, then = conds[n:], then[n:]
 	}
 	return nil
 }
 
+// summaryGap is how long the next summary waits after one of some changes: they may take
+// a share of the state service's rate only, since all else goes before them.
+func (c *Controller) summaryGap(changes int) time.Duration {
+	least := tuning.Seconds(c.tuning.SummaryS)
+	return max(least, tuning.Seconds(float64(changes)/(tuning.SummaryShare*c.limits.WriteRPS)))
+}
+
 // summarise writes those of the summary's records that have changed.
 func (o *ownedPartition) summarise() {
-	if time.Since(o.summarised) < tuning.Seconds(o.controller.tuning.SummaryS) {
+	if time.Since(o.summarised) < o.summaryGap {
 		return
 	}
 	o.mu.Lock()
 	s := o.partition.Summary(time.Now())
 	o.mu.Unlock()
 	records := map[string]any{}
-	notes := s.MachineNotes(o.controller.settings.Cluster.State.ValueKB)
+	notes := s.MachineNotes(o.controller.limits.ValueKB)
 	for i, n := range notes {
 		records[notesKey(o.index, i)] = n
 	}
 	s.Notes = len(notes)
+	more := s.SplitWaiting(o.controller.limits.ValueKB)
+	for i, demands := range more {
+		records[demandsKey(o.index, i)] = demands
+	}
+	s.More = len(more)
 	records[summaryKey(o.index)] = s
 	// The condition on the part's key alone fences it: only owners write here.
 	txn := wire.Txn{If: []wire.Cond{{Key: core.PartitionKey(o.index), Revision: o.revision}}}
 	changed := map[string][]byte{}
 	for _, key := range sortedIDs(records) {
 		b, err := wire.Marshal(records[key])
-		if err != nil || bytes.Equal(b, o.last[key]) || len(txn.Then) == o.controller.settings.Cluster.State.TxnOps {
+		if err != nil || bytes.Equal(b, o.last[key]) || len(txn.Then) == o.controller.limits.TxnOps {
 			continue
 		}
 		changed[key] = b
@@ -177,6 +214,7 @@
 		return
 	}
 	o.summarised = time.Now()
+	o.summaryGap = o.controller.summaryGap(len(txn.Then))
 	if _, err := o.controller.store.Commit(o.ctx, txn); err != nil {
 		slog.Debug("summary not written", "part", o.index, "err", err)
 		return
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,6 +33,8 @@
 	cluster    *cluster
 	peers      map[string]*mesh.Peer
 	partitions int
+	// limits are those of the state service that all that is written keeps to.
+	limits config.StateLimits
 	// forwarders pass workers' reports on, by the node that they go to.
 	forwarders map[string]*forwarder
 	// telling holds a place for each cancellation that an owner is told of.
@@ -52,9 +54,9 @@
 
 // New makes a controller that has not started yet.
 func New(s *config.Settings, t tuning.Tuning, n transport.Net) *Controller {
-	st := s.Cluster.State
+	st := s.WriteLimits()
 	c := &Controller{
-		settings: s, tuning: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, partitions: t.Parts,
+		settings: s, limits: st, tuning: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, partitions: t.Parts,
 		owned: map[int]*ownedPartition{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, visits: map[string]visit{}, forwarders: map[string]*forwarder{}, restPart: map[int]time.Time{},
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
@@ -70,6 +72,7 @@
 	}
 	c.cluster.onChange = c.machineChanged
 	c.cluster.onOwner = c.ownerChanged
+	c.cluster.onLevel = c.levelRaised
 	c.share()
 	return c
 }
--- a/internal/controller/inventory.go
+++ b/internal/controller/inventory.go
@@ -88,8 +88,8 @@
 		groups[k] = append(groups[k], m.ID)
 	}
 	for k, ids := range groups {
-		for part := range slices.Chunk(ids, core.PerGroup(l.controller.settings.Cluster.State.ValueKB, k.Type, k.Zone)) {
-			cond, put := group(part, taken)
+		for part := range slices.Chunk(ids, core.PerGroup(l.controller.limits.ValueKB, k.Type, k.Zone)) {
+			cond, put := newGroup(groupOf(part, taken))
 			rev, err := l.commit(ctx, []wire.Cond{cond}, []wire.Write{put})
 			if err != nil {
 				slog.Debug("machines not taken in", "err", err)
@@ -102,14 +102,13 @@
 	return true
 }
 
-// group is the write of a new group, named after its first machine.
-func group(ids []string, recs map[string]core.MachineRecord) (wire.Cond, wire.Write) {
+// groupOf joins the records of some machines.
+func groupOf(ids []string, recs map[string]core.MachineRecord) core.GroupRecord {
 	g := core.GroupRecord{Machines: map[string]core.MachineRecord{}}
 	for _, id := range ids {
 		g.Machines[id] = recs[id]
 	}
-	key := machinePrefix + slices.Min(ids)
-	return wire.Cond{Key: key, Revision: 0}, wire.Write{Put: key, Value: g}
+	return g
 }
 
 // partFor spreads machines taken in over the parts.
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -61,7 +61,7 @@
 	defer o.mu.Unlock()
 	for _, it := range chunks {
 		var r core.ChunkRecord
-		if _, index, ok := core.SplitChunkKey(it.Key); ok && index == 0 && wire.Unmarshal(it.Value, &r) == nil && r.Job != nil && r.JobStamp == 0 {
+		if _, name, ok := core.SplitChunkKey(it.Key); ok && core.IsFirstChunk(name) && wire.Unmarshal(it.Value, &r) == nil && r.Job != nil && r.JobStamp == 0 {
 			o.partition.AddJob(r.Job, time.UnixMilli(r.At), it.Revision)
 		}
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -89,6 +89,14 @@
 		seen: map[string]bool{}, gone: map[string]time.Time{}, refused: map[core.Kind]refusal{}, summaries: map[int]core.Summary{}, tried: map[string]time.Time{}, own: map[string]bool{}}
 }
 
+// maxRent is how many machines one rental may bring: their groups are recorded in one
+// transaction, which deletes the rental's record as well.
+func (l *leader) maxRent(k core.Kind) int {
+	limits := l.controller.limits
+	groups := min(limits.TxnOps-1, max(1, tuning.TxnBytes/int(limits.ValueKB*1024)))
+	return min(tuning.MaxRent, groups*core.PerGroup(limits.ValueKB, k.Type, k.Zone))
+}
+
 // leads tells whether the lead's key still shows this term.
 func (l *leader) leads() bool {
 	l.controller.cluster.mu.Lock()
@@ -135,6 +143,8 @@
 			lastSum = now
 			l.readSummaries(ctx)
 			l.giveBack(ctx) // it goes by summaries and list, and looks at every machine
+			l.raiseLevel(ctx)
+			l.divideGroups(ctx)
 		}
 		if urgent := l.urgent(); now.Sub(l.round) >= tuning.Seconds(l.controller.tuning.RoundS) || urgent || l.again {
 			l.round, l.again = now, false
@@ -203,6 +213,13 @@
 				slog.Debug("notes on machines not read", "part", part, "err", err)
 			}
 		}
+		for i := range s.More {
+			var more []core.Demand
+			if err := wire.Unmarshal(values[demandsKey(part, i)], &more); err != nil {
+				slog.Debug("demands not read", "part", part, "err", err)
+			}
+			s.Waiting = append(s.Waiting, more...)
+		}
 		l.summaries[part] = s
 	}
 }
@@ -251,7 +268,7 @@
 	plan := l.fleet.Plan(in, now)
 	slog.Debug("sizing", "target", plan.Target, "booked", plan.Booked, "rentals", plan.Rentals, "moves", plan.Moves, "returns", plan.Returns, "machines", len(ids))
 	for _, r := range plan.Rentals {
-		most := min(tuning.MaxRent, core.PerGroup(l.controller.settings.Cluster.State.ValueKB, r.Kind.Type, r.Kind.Zone))
+		most := l.maxRent(r.Kind)
 		for n := r.Count; n > 0; n -= most {
 			l.record(ctx, r, min(n, most))
 		}
--- /dev/null
+++ b/internal/controller/level.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+
+	"ambersill/internal/core"
+	"ambersill/internal/wire"
+)
+
+// levelRaised tells the owned partitions of a new feature level.
+func (c *Controller) levelRaised(level core.FeatureLevel) {
+	slog.Info("feature level", "level", level)
+	c.mu.Lock()
+	owned := c.ownedPartitions()
+	c.mu.Unlock()
+	for _, o := range owned {
+		o.mu.Lock()
+		if o.partition != nil {
+			o.partition.SetLevel(level)
+		}
+		o.mu.Unlock()
+	}
+}
+
+// raiseLevel raises the feature level once every configured node lives and knows the
+// higher one. The commit names what each node's record says, so that one that has come
+// back with an older program meanwhile makes it fail.
+func (l *leader) raiseLevel(ctx context.Context) {
+	conds, ready := l.controller.cluster.readyFor(core.CurrentLevel, l.controller.memberNames())
+	if !ready || len(conds) > l.maxConditions() {
+		return
+	}
+	put := wire.Write{Put: levelKey, Value: core.LevelRecord{Level: core.CurrentLevel}}
+	rev, err := l.commit(ctx, conds, []wire.Write{put})
+	if err != nil {
+		slog.Debug("feature level not raised", "err", err)
+		return
+	}
+	l.controller.cluster.apply(levelKey, must(wire.Marshal(put.Value)), rev, false)
+}
+
+// maxConditions is how many conditions a transaction may have beside the leader's fence.
+func (l *leader) maxConditions() int { return conditionsPerChange*l.controller.limits.TxnOps - 1 }
+
+// conditionsPerChange is how many conditions the state service allows for each change that
+// it allows.
+const conditionsPerChange = 4
+
+// memberNames names all configured nodes.
+func (c *Controller) memberNames() []string {
+	names := []string{c.settings.Node}
+	for _, m := range c.settings.Members {
+		names = append(names, m.Node)
+	}
+	return names
+}
+
+// readyFor tells whether the level is lower than the given one and all nodes named live
+// and know it, and returns the conditions under which that still holds.
+func (c *cluster) readyFor(level core.FeatureLevel, names []string) ([]wire.Cond, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.level >= level {
+		return nil, false
+	}
+	var conds []wire.Cond
+	for _, name := range names {
+		n, live := c.nodes[name]
+		if !live || n.level < level {
+			return nil, false
+		}
+		conds = append(conds, wire.Cond{Key: nodePrefix + name, Revision: n.stamp})
+	}
+	return conds, true
+}
+
+// divideGroups divides one group of machines that outgrows the limits to come, so that all
+// are small before one has to change.
+func (l *leader) divideGroups(ctx context.Context) {
+	ids := l.controller.cluster.oversized(l.controller.groupLimit())
+	if len(ids) == 0 {
+		return
+	}
+	entry, ok := l.controller.cluster.machine(ids[0])
+	if !ok {
+		return
+	}
+	changes := map[string]*core.MachineRecord{ids[0]: &entry.rec}
+	if err := l.controller.rewrite(ctx, l.fence(), changes); err != nil {
+		slog.Debug("group of machines not divided", "err", err)
+	}
+}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -27,6 +27,7 @@
 	now := time.Now()
 	p := core.NewPartition(o.index, o.revision, o.controller.settings, &o.controller.tuning)
 	p.SetTypes(o.controller.catalog())
+	p.SetLevel(o.controller.cluster.featureLevel())
 	if err := loadMachines(p, records.machines, now); err != nil {
 		return 0, err
 	}
@@ -75,13 +76,13 @@
 func decodeChunks(items []wire.Item) []core.LoadedChunk {
 	var all []core.LoadedChunk
 	for _, it := range items {
-		id, index, ok := core.SplitChunkKey(it.Key)
+		id, name, ok := core.SplitChunkKey(it.Key)
 		var r core.ChunkRecord
 		if err := wire.Unmarshal(it.Value, &r); err != nil || !ok {
 			slog.Error("record not understood", "key", it.Key, "err", err)
 			continue
 		}
-		all = append(all, core.LoadedChunk{Job: id, Index: index, Stamp: it.Revision, Record: r})
+		all = append(all, core.LoadedChunk{Job: id, Name: name, Stamp: it.Revision, Record: r})
 	}
 	return all
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -19,7 +19,7 @@
 // the moments when it records many rentals: at its base share alone, those of a
 // fleet that starts from nothing took 13 s on a service of 25 changes a second.
 func (c *Controller) share() {
-	st := c.settings.Cluster.State
+	st := c.limits
 	n := float64(c.settings.Cluster.Count)
 	c.mu.Lock()
 	f := 0.4/n + 0.6*float64(len(c.owned))/float64(c.partitions)
@@ -35,7 +35,7 @@
 func (c *Controller) keepMembership(ctx context.Context) error {
 	every := tuning.Seconds(c.tuning.HoldS / 4)
 	var extended time.Time // when the last renewal that was answered was sent
-	away := false
+	away, entered := false, false
 	for ctx.Err() == nil {
 		if d := c.store.SinceContact(); away != (d > tuning.Seconds(c.tuning.FreshS)) {
 			away = !away
@@ -48,11 +48,11 @@
 				transport.Pause(ctx, 300*time.Millisecond)
 				continue
 			}
-			extended = asked
+			extended, entered = asked, false
 			c.setLease(h, asked)
-			if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{{Put: nodePrefix + c.settings.Node, Value: core.OwnerRecord{Node: c.settings.Node}, Lease: h}}}); err != nil {
-				slog.Debug("node not entered", "err", err)
-			}
+		}
+		if !entered {
+			entered = c.enter(ctx)
 		}
 		if time.Since(extended) >= every {
 			asked := time.Now()
@@ -87,6 +87,18 @@
 	return nil
 }
 
+// enter writes what this node says of itself under its lease. Without an answer it is
+// written again, which changes nothing.
+func (c *Controller) enter(ctx context.Context) bool {
+	record := core.NodeRecord{Node: c.settings.Node, Level: core.CurrentLevel}
+	put := wire.Write{Put: nodePrefix + c.settings.Node, Value: record, Lease: c.currentLease()}
+	_, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{put}})
+	if err != nil {
+		slog.Debug("node not entered", "err", err)
+	}
+	return err == nil
+}
+
 // setLease notes the lease, and that it was granted or renewed at the earliest when that
 // was asked for.
 func (c *Controller) setLease(h uint64, asked time.Time) {
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -27,6 +27,7 @@
 	knownUntil time.Time         // every cancellation confirmed before then is known to p
 	last       map[string][]byte // summary's records as last written
 	summarised time.Time
+	summaryGap time.Duration // until the next one
 	// noted is what was last logged of the news: late, and reports still answered.
 	loggedStaleness [2]bool
 }
--- a/internal/controller/rental.go
+++ b/internal/controller/rental.go
@@ -120,8 +120,9 @@
 			recs[id] = core.MachineRecord{Type: r.rec.Type, Zone: r.rec.Zone, Spot: r.rec.Spot, Part: r.rec.Part, Born: time.Now().UnixMilli()}
 		}
 	}
-	if len(recs) > 0 {
-		cond, put := group(sortedIDs(recs), recs)
+	per := core.PerGroup(l.controller.limits.ValueKB, r.rec.Type, r.rec.Zone)
+	for ids := range slices.Chunk(sortedIDs(recs), per) {
+		cond, put := newGroup(groupOf(ids, recs))
 		conds, then = append(conds, cond), append(then, put)
 	}
 	rev, err := l.commit(ctx, conds, then)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -166,6 +166,9 @@
 	if r, ok := c.final(j.ID); ok {
 		return view(r), false, nil
 	}
+	if !core.Recordable(j, c.settings) {
+		return wire.JobView{}, false, &api.Refusal{Status: http.StatusBadRequest, Reason: "the description is too long"}
+	}
 	types := c.catalog()
 	if len(types) == 0 {
 		return wire.JobView{}, false, errors.New("machine types not known yet")
@@ -190,7 +193,7 @@
 		If: []wire.Cond{{Key: key, Revision: 0}},
 		Then: []wire.Write{
 			{Put: key, Value: rec},
-			{Put: core.ChunkKey(rec.Part, j.ID, 0), Value: core.FirstChunk(&rec)},
+			{Put: core.FirstChunkKey(rec.Part, j.ID), Value: core.FirstChunk(&rec, c.cluster.featureLevel(), c.settings)},
 		},
 	})
 	if err == nil {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -1,11 +1,11 @@
 package core
 
 import (
-	"sort"
 	"strconv"
 	"strings"
 	"time"
 
+	"ambersill/internal/config"
 	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
@@ -22,18 +22,15 @@
 func ChunkPrefix(part int) string { return "a/" + strconv.Itoa(part) + "/" }
 
 // ChunkKey is the key of a chunk of a job.
-func ChunkKey(part int, id string, index int) string {
-	return ChunkPrefix(part) + id + "/" + strconv.Itoa(index)
-}
+func ChunkKey(part int, id, name string) string { return ChunkPrefix(part) + id + "/" + name }
 
 // SplitChunkKey takes a chunk's key apart.
-func SplitChunkKey(key string) (id string, index int, ok bool) {
+func SplitChunkKey(key string) (id, name string, ok bool) {
 	f := strings.Split(key, "/")
 	if len(f) != 4 {
-		return "", 0, false
+		return "", "", false
 	}
-	i, err := strconv.Atoi(f[3])
-	return f[2], i, err == nil
+	return f[2], f[3], true
 }
 
 // CancelPrefix is the prefix of the marks of cancelled jobs of a part.
@@ -46,7 +43,13 @@
 func PartitionKey(part int) string { return "c/p/" + strconv.Itoa(part) }
 
 // FirstChunk is the record of a job's first chunk as it is submitted.
-func FirstChunk(r *JobRecord) ChunkRecord { return ChunkRecord{Job: r.Job, At: r.At} }
+func FirstChunk(r *JobRecord, level FeatureLevel, s *config.Settings) ChunkRecord {
+	c := ChunkRecord{Job: r.Job, At: r.At}
+	if level >= SizedChunks {
+		c.To = min(ChunkTasks(s), r.Job.Tasks)
+	}
+	return c
+}
 
 // Batch is a set of changes of a part on its way to the state service.
 type Batch struct {
@@ -68,6 +71,7 @@
 type foldWrite struct {
 	c       *chunk
 	version int
+	ranged  bool // the record says which tasks it holds
 }
 
 type entryWrite struct {
@@ -87,32 +91,63 @@
 	if c.index == 0 {
 		r.Job, r.At, r.JobStamp = j.Job, j.At.UnixMilli(), j.Stamp
 	}
+	if c.sized {
+		r.From, r.To = c.from, c.to
+	}
 	r.Done = ranges(c.from, c.to, func(i int) bool { return j.tasks[i] == done })
-	for t, pl := range j.placed {
-		if t >= c.from && t < c.to && j.tasks[t] != done {
+	for t := c.from; t < c.to; t++ {
+		if pl := j.placed[t]; pl != nil && j.tasks[t] != done {
 			r.Live = append(r.Live, pl.live())
 		}
 	}
-	sort.Slice(r.Live, func(a, b int) bool { return r.Live[a].Task < r.Live[b].Task })
 	return r
 }
 
-// bytes estimates a record's size in the protocol's measure.
+// bytes bounds a record's size in the protocol's measure from above.
 func (r *ChunkRecord) bytes() int {
-	n := 64 + 16*len(r.Done) + (tuning.TaskBytes-8)*len(r.Live)
+	n := chunkBytes + rangeBytes/2*len(r.Done)
+	for _, l := range r.Live {
+		n += l.bytes()
+	}
 	if r.Job != nil {
-		n += 500 + len(r.Job.Class) + len(r.Job.Team) + len(r.Job.Image)
-		for _, t := range r.Job.Types {
-			n += len(t) + 3
-		}
+		n += descriptionBytes(r.Job)
 	}
 	return n
 }
 
+// Sizes in the protocol's measure, in bytes.
+const (
+	chunkBytes = 128 // a chunk's record without its tasks and the job's description
+	rangeBytes = 14  // two task numbers of up to six digits
+	jobBytes   = 560 // a job's description without its names
+	placeBytes = 8   // the punctuation of a live placement
+)
+
+// descriptionBytes bounds the size of a job's description from above.
+func descriptionBytes(j *wire.Job) int {
+	n := jobBytes + len(j.ID) + len(j.Class) + len(j.Team) + len(j.Image) + len(j.Zone)
+	for _, t := range j.Types {
+		n += len(t) + 3
+	}
+	return n
+}
+
+// Recordable tells whether a job's description leaves room in a record for a task.
+func Recordable(j *wire.Job, s *config.Settings) bool {
+	return chunkBytes+descriptionBytes(j)+tuning.TaskBytes <= int(s.WriteLimits().ValueKB*1024)
+}
+
+// bytes is a placement's size.
+func (l LiveRecord) bytes() int {
+	return placeBytes + digits(uint64(l.Task)) + digits(l.Try) + len(l.Machine) + digits(l.Session)
+}
+
+func digits(n uint64) int { return len(strconv.FormatUint(n, 10)) }
+
 // Batch gathers changes for one transaction: the end of a job first, chunks that
 // the journal's ring makes due, the journal, and records that are to go.
 func (p *Partition) Batch() *Batch {
-	ops := p.s.Cluster.State.TxnOps
+	ops := p.limits.TxnOps
 	b := &Batch{}
 	b.Txn.If = append(b.Txn.If, wire.Cond{Key: PartitionKey(p.Index), Revision: p.Stamp})
 	size := 0
@@ -128,8 +163,8 @@
 		}
 		// One end per batch keeps conflicts with cancellations apart.
 		rec := JobRecord{Job: j.Job, Phase: wire.Done, Part: p.Index, At: j.At.UnixMilli()}
-		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Revision: j.Stamp}, wire.Cond{Key: ChunkKey(p.Index, id, 0), Revision: j.chunks[0].stamp})
-		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: JobKey(id), Value: rec}, wire.Write{Delete: ChunkKey(p.Index, id, 0)})
+		b.Txn.If = append(b.Txn.If, wire.Cond{Key: JobKey(id), Revision: j.Stamp}, wire.Cond{Key: p.chunkKey(j.chunks[0]), Revision: j.chunks[0].stamp})
+		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: JobKey(id), Value: rec}, wire.Write{Delete: p.chunkKey(j.chunks[0])})
 		b.ended = j
 		size += 1000
 	}
@@ -138,7 +173,7 @@
 	}
 	for _, j := range p.ending {
 		for _, c := range j.chunks {
-			if c.index > 0 && c.stamp > 0 && len(b.Txn.Then) < ops {
+			if c.from > 0 && c.stamp > 0 && len(b.Txn.Then) < ops {
 				p.discard(b, c)
 			}
 		}
@@ -154,7 +189,7 @@
 
 // discard deletes a chunk's record.
 func (p *Partition) discard(b *Batch, c *chunk) {
-	key := ChunkKey(p.Index, c.job.ID, c.index)
+	key := p.chunkKey(c)
 	b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Revision: c.stamp})
 	b.Txn.Then = append(b.Txn.Then, wire.Write{Delete: key})
 	b.cleaned = append(b.cleaned, c)
@@ -197,6 +232,8 @@
 	}
 	for _, w := range b.folds {
 		w.c.stamp, w.c.oldest = rev, 0
+		w.c.head, w.c.parts = nil, nil
+		w.c.ranged = w.ranged
 		delete(p.unfolded, w.c)
 		p.settle(w.c, w.version, nil)
 	}
@@ -209,7 +246,7 @@
 	still := p.ending[:0]
 	for _, j := range p.ending {
 		for _, c := range j.chunks {
-			if c.index > 0 && c.stamp > 0 {
+			if c.from > 0 && c.stamp > 0 {
 				still = append(still, j)
 				break
 			}
@@ -260,16 +297,16 @@
 		}
 	}
 	for _, w := range b.folds {
-		if key == ChunkKey(p.Index, w.c.job.ID, w.c.index) {
+		if key == p.chunkKey(w.c) {
 			w.c.stamp = stamp
 		}
 	}
 	for _, c := range b.cleaned {
-		if key == ChunkKey(p.Index, c.job.ID, c.index) {
+		if key == p.chunkKey(c) {
 			c.stamp = stamp
 		}
 	}
-	if b.ended != nil && key == ChunkKey(p.Index, b.ended.ID, 0) {
+	if b.ended != nil && key == p.chunkKey(b.ended.chunks[0]) {
 		b.ended.chunks[0].stamp = stamp
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -257,7 +257,7 @@
 	b.rev++
 	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, b.rev, b.now)
 	j := array("req-1", 1, 1)
-	b.Load([]LoadedChunk{{Job: "req-1", Stamp: b.rev, Record: ChunkRecord{Job: &j, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}}}}, nil)
+	b.Load([]LoadedChunk{{Job: "req-1", Name: "0", Stamp: b.rev, Record: ChunkRecord{Job: &j, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}}}}, nil)
 	b.Schedule(b.now.Add(time.Hour))
 	if len(b.machines["m-1"].places) != 1 {
 		t.Fatal("a placement of an earlier owner was freed by time alone")
@@ -282,7 +282,7 @@
 	b.rev++
 	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, b.rev, b.now)
 	j := array("req-1", 1, 1)
-	b.Load([]LoadedChunk{{Job: "req-1", Stamp: b.rev, Record: ChunkRecord{Job: &j, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}}}}, nil)
+	b.Load([]LoadedChunk{{Job: "req-1", Name: "0", Stamp: b.rev, Record: ChunkRecord{Job: &j, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 1}}}}}, nil)
 	m := b.machines["m-1"]
 	b.Report(&wire.Report{Machine: "m-1", Session: 1, Seq: 1, Token: m.token - 1}, b.now, true)
 	if len(m.places) != 1 {
@@ -352,7 +352,7 @@
 	o.Stamp = 500
 	o.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, 100, o.now)
 	d := array("req-1", 1, 1)
-	o.Load([]LoadedChunk{{Job: "req-1", Stamp: 100, Record: ChunkRecord{Job: &d, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 2}}}}}, nil)
+	o.Load([]LoadedChunk{{Job: "req-1", Name: "0", Stamp: 100, Record: ChunkRecord{Job: &d, Try: 3, Live: []LiveRecord{{Task: 0, Try: 3, Machine: "m-1", Session: 2}}}}}, nil)
 	for _, r := range []wire.Report{{Session: 1, Seq: 50, Token: tok}, {Session: 2, Seq: 92, Token: tok}} {
 		r.Machine = "m-1"
 		o.Report(&r, o.now, true)
@@ -843,7 +843,7 @@
 	b := newBed()
 	b.machine("m-1", "cpu", "a", false)
 	j := &wire.Job{ID: "req-000001", Class: "c", Team: "free", Shape: wire.Gang, Rank: "standard", Tasks: 3, CPUs: 1, RAM: 1, Image: "i", Estimate: 10}
-	b.Load([]LoadedChunk{{Job: j.ID, Stamp: 50, Record: ChunkRecord{Job: j, Try: 1, Done: []int{0, 1},
+	b.Load([]LoadedChunk{{Job: j.ID, Name: "0", Stamp: 50, Record: ChunkRecord{Job: j, Try: 1, Done: []int{0, 1},
 		Live: []LiveRecord{{Task: 1, Try: 1, Machine: "m-lost", Session: 1}, {Task: 2, Try: 1, Machine: "m-1", Session: 1}}}}}, nil)
 	b.Schedule(b.now)
 	if x := b.Batch(); x.ended == nil || x.ended.ID != j.ID {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"sort"
 	"time"
 
 	"ambersill/internal/wire"
@@ -14,11 +15,21 @@
 	done
 )
 
-// chunk is the part of a job's tasks that shares one record.
+// chunk is a range of a job's tasks that shares one record.
 type chunk struct {
-	job       *Job
-	index     int
-	from, to  int
+	job *Job
+	// name is the last part of its record's key; index is its place in the layout of
+	// the first format, which the journal's entries name.
+	name     string
+	index    int
+	from, to int
+	// sized: its record is to say which tasks it holds; ranged: the stored one does.
+	sized, ranged bool
+	// head is the chunk whose record holds this one's state until this one has a record
+	// of its own; parts are the chunks that were split off from this one, whose records
+	// must be written before its own is.
+	head      *chunk
+	parts     []*chunk
 	stamp     uint64 // of the key, as last read or written
 	version   int    // counts changes in memory
 	committed int    // version known to be in the state service
@@ -95,9 +106,12 @@
 	told  bool // has left at least once
 }
 
-func (p *Placement) chunk() *chunk { return p.job.chunks[p.task/p.job.chunkSize()] }
+func (p *Placement) chunk() *chunk { return p.job.chunkOf(p.task) }
 
-func (j *Job) chunkSize() int { return j.chunks[0].to - j.chunks[0].from }
+// chunkOf finds the chunk that holds a task.
+func (j *Job) chunkOf(task int) *chunk {
+	return j.chunks[sort.Search(len(j.chunks), func(i int) bool { return j.chunks[i].to > task })]
+}
 
 type attempt struct {
 	task string
@@ -106,10 +120,11 @@
 
 // clearance is an exited task that may be cleared once its end is committed.
 type clearance struct {
-	chunk   *chunk
-	version int
+	job     *Job
+	task    int
+	version int // of the task's chunk
 }
 
 func (c clearance) ready() bool {
-	return c.chunk == nil || c.chunk.job.final || c.chunk.committed >= c.version
+	return c.job == nil || c.job.final || c.job.chunkOf(c.task).committed >= c.version
 }
--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -42,8 +42,15 @@
 	Free  []int // ranges of tasks that wait again
 }
 
+// entryBytes is an entry's size without its job's name and tasks.
+const entryBytes = 40
+
 func (e *JournalEntry) bytes() int {
-	return 40 + len(e.Job) + (tuning.TaskBytes-8)*len(e.Live) + 8*(len(e.Done)+len(e.Free))
+	n := entryBytes + len(e.Job) + rangeBytes/2*(len(e.Done)+len(e.Free))
+	for _, l := range e.Live {
+		n += l.bytes()
+	}
+	return n
 }
 
 // touch notes that a task's state has changed, and must be recorded.
@@ -92,26 +99,18 @@
 // overwrite. It tells whether the journal can go on before those are committed.
 func (p *Partition) fold(b *Batch, size *int, most int) bool {
 	ring := uint64(len(p.slots))
-	var due []*chunk
-	for c := range p.unfolded {
-		if !c.job.dropping() && c.job != b.ended && c.oldest+ring*3/4 <= p.seq {
-			due = append(due, c)
-		}
-	}
+	due := p.foldable(b)
 	if len(due) == 0 {
+		p.convert(b, size, most)
 		return true
 	}
-	sort.Slice(due, func(a, b int) bool {
-		x, y := due[a], due[b]
-		if x.oldest != y.oldest {
-			return x.oldest < y.oldest
-		}
-		if x.job != y.job {
-			return x.job.ID < y.job.ID
+	oldest := due[0].oldest
+	for _, c := range due {
+		if c.oldest > 0 {
+			oldest = min(oldest, c.oldest)
 		}
-		return x.index < y.index
-	})
-	free := due[0].oldest+ring > p.seq+uint64(most)
+	}
+	free := oldest+ring > p.seq+uint64(most)
 	if free {
 		most /= 2
 	}
@@ -119,21 +118,55 @@
 		if len(b.Txn.Then) >= most {
 			break
 		}
-		rec := c.record()
-		rec.Seq = p.seq
-		n := rec.bytes()
-		if *size > 0 && *size+n > tuning.TxnBytes {
-			break
-		}
-		*size += n
-		key := ChunkKey(p.Index, c.job.ID, c.index)
-		b.Txn.If = append(b.Txn.If, wire.Cond{Key: key, Revision: c.stamp})
-		b.Txn.Then = append(b.Txn.Then, wire.Write{Put: key, Value: rec})
-		b.folds = append(b.folds, foldWrite{c, c.version})
+		p.writeChunk(b, size, most, c)
 	}
 	return free
 }
 
+// foldable lists the chunks whose journal entries the ring will soon overwrite, the
+// oldest first; of a job, what was split off before what it was split off from.
+func (p *Partition) foldable(b *Batch) []*chunk {
+	ring := uint64(len(p.slots))
+	var due []*chunk
+	oldest := map[*Job]uint64{}
+	for c := range p.unfolded {
+		if !c.job.dropping() && c.job != b.ended && c.oldest+ring*3/4 <= p.seq {
+			due = append(due, c)
+			if seq, ok := oldest[c.job]; !ok || c.oldest < seq {
+				oldest[c.job] = c.oldest
+			}
+			for _, part := range c.parts {
+				if part.stamp == 0 && !p.unfolded[part] {
+					due = append(due, part)
+				}
+			}
+		}
+	}
+	sort.Slice(due, func(a, b int) bool {
+		x, y := due[a], due[b]
+		switch {
+		case x.job == y.job:
+			return x.from > y.from
+		case oldest[x.job] != oldest[y.job]:
+			return oldest[x.job] < oldest[y.job]
+		}
+		return x.job.ID < y.job.ID
+	})
+	return due
+}
+
+// convert writes one record anew for the sake of its format, now and then, so that none
+// of the first format is left in the end.
+func (p *Partition) convert(b *Batch, size *int, most int) {
+	if p.level < SizedChunks || p.now.Sub(p.converted) < tuning.ConversionGap || len(b.Txn.Then) >= most {
+		return
+	}
+	p.converted = p.now
+	if c := p.outdated(); c != nil && c.job != b.ended {
+		p.writeChunk(b, size, most, c)
+	}
+}
+
 // journal adds the changes of all chunks, those that wait the longest first. A
 // number is used once, whatever becomes of the batch: a lost one may be carried out
 // late, and must then count as older than what was written since.
@@ -149,7 +182,7 @@
 		}
 	}
 	sort.Slice(todo, func(a, b int) bool { return todo[a].since < todo[b].since })
-	limit := int(p.s.Cluster.State.ValueKB*1024) - 64
+	limit := p.valueBytes() - 64
 	var cur *JournalRecord
 	used := 0
 	flush := func() {
@@ -178,7 +211,7 @@
 				cur, used = &JournalRecord{Seq: p.seq}, 0
 			}
 			room := min(limit, tuning.TxnBytes-*size) - used
-			n := min(len(tasks), (room-40-len(c.job.ID))/(tuning.TaskBytes-8))
+			n := c.fitting(tasks, room-entryBytes-len(c.job.ID))
 			if n <= 0 && len(cur.Entries) > 0 {
 				flush()
 				continue
@@ -194,6 +227,20 @@
 	flush()
 }
 
+// fitting is how many of the tasks, the first ones, fit the given bytes of an entry.
+func (c *chunk) fitting(tasks []int, room int) int {
+	for n, t := range tasks {
+		size := rangeBytes
+		if pl := c.job.placed[t]; pl != nil && c.job.tasks[t] != done {
+			size = pl.live().bytes()
+		}
+		if room -= size; room < 0 {
+			return n
+		}
+	}
+	return len(tasks)
+}
+
 // entry is the present state of some tasks, which must be sorted.
 func (c *chunk) entry(tasks []int) JournalEntry {
 	j := c.job
@@ -223,13 +270,12 @@
 	return LiveRecord{Task: pl.task, Try: pl.try, Machine: pl.machine.ID, Session: pl.session}
 }
 
-// LoadedChunk is a chunk as its key shows it.
+// LoadedChunk is a chunk's record as its key shows it.
 type LoadedChunk struct {
 	Job    string
-	Index  int
+	Name   string
 	Stamp  uint64
 	Record ChunkRecord
-	oldest uint64
 }
 
 // LoadedSlot is a journal record as its key shows it.
@@ -241,56 +287,39 @@
 // Load takes in all records of the part after a takeover. The machines must be
 // known already.
 func (p *Partition) Load(chunks []LoadedChunk, journal []LoadedSlot) {
-	type id struct {
-		job   string
-		index int
-	}
-	at := map[id]*LoadedChunk{}
-	var order []*LoadedChunk
+	records := map[string][]*LoadedChunk{}
 	for i := range chunks {
 		c := &chunks[i]
-		if c.Index == 0 && c.Record.Job != nil {
-			p.AddJob(c.Record.Job, time.UnixMilli(c.Record.At), c.Stamp)
+		if IsFirstChunk(c.Name) && c.Record.Job != nil {
+			j := p.AddJob(c.Record.Job, time.UnixMilli(c.Record.At), c.Stamp)
+			if c.Record.JobStamp > 0 {
+				j.Stamp = c.Record.JobStamp
+			}
 		}
-		at[id{c.Job, c.Index}] = c
-		order = append(order, c)
+		records[c.Job] = append(records[c.Job], c)
 		p.seq = max(p.seq, c.Record.Seq)
 	}
+	states := map[*chunk]*replay{}
+	for _, id := range sortedKeys(p.jobs) {
+		p.layOut(p.jobs[id], records[id], states)
+	}
 	sort.Slice(journal, func(a, b int) bool { return journal[a].Record.Seq < journal[b].Record.Seq })
-	states := map[*LoadedChunk]*replay{}
 	for _, s := range journal {
 		p.seq = max(p.seq, s.Record.Seq)
 		p.slots[p.slot(s.Record.Seq)] = s.Stamp
 		for i := range s.Record.Entries {
 			e := &s.Record.Entries[i]
-			if p.jobs[e.Job] == nil {
-				continue // over: its records are gone
-			}
-			c := at[id{e.Job, e.Chunk}]
-			if c == nil {
-				c = &LoadedChunk{Job: e.Job, Index: e.Chunk}
-				at[id{e.Job, e.Chunk}] = c
-				order = append(order, c)
-			}
-			if s.Record.Seq <= c.Record.Seq {
-				continue
+			if j := p.jobs[e.Job]; j != nil { // else it is over: its records are gone
+				j.replay(s.Record.Seq, e, states)
 			}
-			if c.oldest == 0 {
-				c.oldest = s.Record.Seq
-			}
-			r := states[c]
-			if r == nil {
-				r = newReplay(&c.Record)
-				states[c] = r
-			}
-			r.apply(e)
 		}
 	}
-	for _, c := range order {
-		if r := states[c]; r != nil {
-			r.store(&c.Record)
+	for _, id := range sortedKeys(p.jobs) {
+		for _, c := range p.jobs[id].chunks {
+			if r := states[c]; r != nil {
+				p.restore(c, r)
+			}
 		}
-		p.loadChunk(c)
 	}
 	for _, j := range p.jobs {
 		if j.Shape == wire.Gang && j.done > 0 {
@@ -304,43 +333,96 @@
 
 // replay is a chunk's state while journal entries are applied to it.
 type replay struct {
+	seq  uint64 // the newest journal record whose changes are all in the chunk's record
 	try  uint64
 	done map[int]bool
 	live map[int]LiveRecord
 }
 
-func newReplay(c *ChunkRecord) *replay {
-	r := &replay{try: c.Try, done: map[int]bool{}, live: map[int]LiveRecord{}}
-	eachIn(c.Done, func(t int) { r.done[t] = true })
+// newReplay is the state of a range of tasks as a record shows it.
+func newReplay(c *ChunkRecord, from, to int) *replay {
+	r := &replay{seq: c.Seq, try: c.Try, done: map[int]bool{}, live: map[int]LiveRecord{}}
+	eachIn(c.Done, func(t int) {
+		if t >= from && t < to {
+			r.done[t] = true
+		}
+	})
 	for _, l := range c.Live {
-		r.live[l.Task] = l
+		if l.Task >= from && l.Task < to {
+			r.live[l.Task] = l
+		}
 	}
 	return r
 }
 
-func (r *replay) apply(e *JournalEntry) {
-	r.try = max(r.try, e.Try)
-	eachIn(e.Done, func(t int) { r.done[t] = true; delete(r.live, t) })
-	eachIn(e.Free, func(t int) { delete(r.live, t) })
+// replay applies a journal entry to the chunks whose records lack it.
+func (j *Job) replay(seq uint64, e *JournalEntry, states map[*chunk]*replay) {
+	j.try = max(j.try, e.Try)
+	lacking := func(task int) *replay {
+		if task < 0 || task >= j.Tasks {
+			return nil
+		}
+		c := j.chunkOf(task)
+		r := states[c]
+		if r == nil {
+			r = newReplay(&ChunkRecord{}, c.from, c.to)
+			states[c] = r
+		}
+		if seq <= r.seq {
+			return nil
+		}
+		if c.oldest == 0 {
+			c.oldest = seq
+		}
+		return r
+	}
+	eachIn(e.Done, func(t int) {
+		if r := lacking(t); r != nil {
+			r.done[t] = true
+			delete(r.live, t)
+		}
+	})
+	eachIn(e.Free, func(t int) {
+		if r := lacking(t); r != nil {
+			delete(r.live, t)
+		}
+	})
 	for _, l := range e.Live {
-		r.live[l.Task] = l
+		if r := lacking(l.Task); r != nil {
+			r.live[l.Task] = l
+		}
 	}
 }
 
-func (r *replay) store(c *ChunkRecord) {
-	c.Try, c.Done, c.Live = r.try, nil, nil
-	tasks := make([]int, 0, len(r.done))
-	for t := range r.done {
-		tasks = append(tasks, t)
-	}
-	sort.Ints(tasks)
-	for _, t := range tasks {
-		c.Done = append(c.Done, t, t+1)
+// restore takes in a chunk's state as its record and the journal show it.
+func (p *Partition) restore(c *chunk, r *replay) {
+	j := c.job
+	if c.oldest > 0 {
+		p.unfolded[c] = true
 	}
-	for _, l := range r.live {
-		c.Live = append(c.Live, l)
+	j.try = max(j.try, r.try)
+	for t := c.from; t < c.to; t++ {
+		if r.done[t] {
+			j.tasks[t] = done
+			j.waiting--
+			j.done++
+			continue
+		}
+		l, live := r.live[t]
+		if !live {
+			continue
+		}
+		m := p.machines[l.Machine]
+		if m == nil {
+			// The machine's record goes only after its return was answered
+			// with 200, so nothing of it can be live.
+			p.touch(c, t)
+			continue
+		}
+		// An earlier owner's start counts as sent and seen: it is never
+		// repeated, since it may have been cleared.
+		p.attach(&Placement{job: j, task: t, try: l.Try, machine: m, session: l.Session, sent: true, seen: true})
 	}
-	sort.Slice(c.Live, func(a, b int) bool { return c.Live[a].Task < c.Live[b].Task })
 }
 
 // maxSpan bounds a range read from a record, so that a damaged one does no harm.
--- a/internal/core/journal_test.go
+++ b/internal/core/journal_test.go
@@ -78,8 +78,8 @@
 	var chunks []LoadedChunk
 	var slots []LoadedSlot
 	for k, v := range s.vals {
-		if id, i, ok := SplitChunkKey(k); ok && strings.HasPrefix(k, "a/") {
-			c := LoadedChunk{Job: id, Index: i, Stamp: s.at[k]}
+		if id, name, ok := SplitChunkKey(k); ok && strings.HasPrefix(k, "a/") {
+			c := LoadedChunk{Job: id, Name: name, Stamp: s.at[k]}
 			if err := wire.Unmarshal(v, &c.Record); err != nil {
 				t.Fatal(err)
 			}
@@ -128,7 +128,7 @@
 		submit := func(n int) {
 			j := array(fmt.Sprintf("req-%d", n), rapid.IntRange(1, 300).Draw(t, "tasks"), 0.25)
 			r := &JobRecord{Job: &j, Phase: wire.Queued, At: b.now.UnixMilli()}
-			s.apply(wire.Txn{Then: []wire.Write{{Put: JobKey(j.ID), Value: r}, {Put: ChunkKey(0, j.ID, 0), Value: FirstChunk(r)}}})
+			s.apply(wire.Txn{Then: []wire.Write{{Put: JobKey(j.ID), Value: r}, {Put: FirstChunkKey(0, j.ID), Value: FirstChunk(r, b.level, b.s)}}})
 			b.AddJob(&j, b.now, s.rev)
 		}
 		ended := map[string]bool{} // tasks whose end a worker has reported
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -30,6 +30,10 @@
 	Live     []LiveRecord `cbor:"live,omitempty"`
 	// Seq is the newest journal record whose changes are all in here.
 	Seq uint64 `cbor:"q,omitempty"`
+	// From and To are the tasks that the record holds, [From, To). Records of the first
+	// format lack them: those hold ChunkTasks tasks each, in the order of their numbers.
+	From int `cbor:"from,omitempty"`
+	To   int `cbor:"to,omitempty"`
 }
 
 // LiveRecord is a placement that may be in effect.
@@ -87,10 +91,44 @@
 	return g, nil
 }
 
+// Sizes of a group's record in the protocol's measure, in bytes.
+const (
+	groupBytes   = 64  // without its machines
+	machineBytes = 150 // of a machine without its names, whatever is written of it later
+)
+
 // PerGroup is how many machines of a type and zone a record of the given size holds.
 func PerGroup(valueKB float64, typ, zone string) int {
-	const each = 150 // bytes of a machine in the protocol's measure, names apart
-	return max(1, int(valueKB*1024-64)/(each+len(typ)+len(zone)))
+	return max(1, int(valueKB*1024-groupBytes)/(machineBytes+len(typ)+len(zone)))
+}
+
+// bytes bounds a machine's size in a group from above.
+func (r *MachineRecord) bytes() int { return machineBytes + len(r.Type) + len(r.Zone) }
+
+// Bytes bounds the size of a group's record from above.
+func (g *GroupRecord) Bytes() int {
+	n := groupBytes
+	for _, r := range g.Machines {
+		n += r.bytes()
+	}
+	return n
+}
+
+// Divide divides a group into pieces that are no larger than the limit, in the order of
+// the machines' names.
+func (g *GroupRecord) Divide(limit int) []GroupRecord {
+	var out []GroupRecord
+	size := limit
+	for _, id := range sortedKeys(g.Machines) {
+		r := g.Machines[id]
+		if size+r.bytes() > limit {
+			out = append(out, GroupRecord{Machines: map[string]MachineRecord{}})
+			size = groupBytes
+		}
+		out[len(out)-1].Machines[id] = r
+		size += r.bytes()
+	}
+	return out
 }
 
 // RentalRecord is written before the cloud is called, so that a rental whose
@@ -122,6 +160,9 @@
 	Machines map[string]MachineNote `cbor:"-"`
 	// Notes is how many such records there are.
 	Notes int `cbor:"notes"`
+	// More is how many further records hold waiting tasks. Programs of the first format
+	// size for what this record holds.
+	More int `cbor:"more,omitempty"`
 }
 
 // MachineNote is what a part's owner tells of a machine.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -130,7 +130,7 @@
 		}
 		p.exited(pl, t, now)
 		c := pl.chunk()
-		m.clearing[k] = clearance{chunk: c, version: c.version}
+		m.clearing[k] = clearance{job: pl.job, task: pl.task, version: c.version}
 	}
 	for _, k := range m.unlisted() {
 		pl := m.places[k]
@@ -222,7 +222,7 @@
 	}
 	j.tasks[task] = done
 	j.done++
-	p.touch(j.chunks[task/j.chunkSize()], task)
+	p.touch(j.chunkOf(task), task)
 	p.Finished++
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -22,6 +22,11 @@
 	room     int // counts changes of free room
 	passed   int // room as the last pass left it
 	perChunk int
+	// limits are those that all that is written keeps to; level is the cluster's
+	// feature level.
+	limits    config.StateLimits
+	level     FeatureLevel
+	converted time.Time // last rewrite of a record for the sake of its format
 	// ending are jobs that are over but whose records still stand.
 	ending []*Job
 	order  []string        // machine names, sorted
@@ -46,7 +51,7 @@
 func NewPartition(index int, stamp uint64, s *config.Settings, t *tuning.Tuning) *Partition {
 	p := &Partition{Index: index, Stamp: stamp, s: s, t: t, types: map[string]wire.MachineType{}, jobs: map[string]*Job{},
 		machines: map[string]*Machine{}, teams: map[string]*team{}, over: map[string]bool{}, dirty: map[*chunk]bool{}, unfolded: map[*chunk]bool{}, slots: make([]uint64, tuning.JournalSlots),
-		perChunk: max(1, int(s.Cluster.State.ValueKB*1024)/tuning.TaskBytes)}
+		perChunk: ChunkTasks(s), limits: s.WriteLimits()}
 	for _, c := range s.Cluster.Teams {
 		p.teams[c.Name] = &team{Team: c}
 	}
@@ -85,53 +90,13 @@
 	j := &Job{Job: d, At: at, Stamp: stamp, Cancelled: p.marks[d.ID], tasks: make([]taskState, d.Tasks), waiting: d.Tasks,
 		placed: map[int]*Placement{}, noRoom: -1}
 	for from := 0; from < d.Tasks; from += p.perChunk {
-		j.chunks = append(j.chunks, &chunk{job: j, index: len(j.chunks), from: from, to: min(from+p.perChunk, d.Tasks)})
+		j.chunks = append(j.chunks, p.newChunk(j, from, min(from+p.perChunk, d.Tasks), p.level >= SizedChunks))
 	}
-	j.chunks[0].stamp = stamp
+	j.chunks[0].stamp, j.chunks[0].ranged = stamp, p.level >= SizedChunks
 	p.jobs[d.ID] = j
 	return j
 }
 
-// loadChunk takes in a chunk as its record and the journal show it.
-func (p *Partition) loadChunk(l *LoadedChunk) {
-	j := p.jobs[l.Job]
-	if j == nil || l.Index < 0 || l.Index >= len(j.chunks) {
-		return
-	}
-	c, r := j.chunks[l.Index], &l.Record
-	c.stamp, c.oldest = l.Stamp, l.oldest
-	if c.oldest > 0 {
-		p.unfolded[c] = true
-	}
-	if r.JobStamp > 0 {
-		j.Stamp = r.JobStamp
-	}
-	j.try = max(j.try, r.Try)
-	eachIn(r.Done, func(t int) {
-		if t >= c.from && t < c.to && j.tasks[t] == waiting {
-			j.tasks[t] = done
-			j.waiting--
-			j.done++
-		}
-	})
-	for _, l := range r.Live {
-		if l.Task < c.from || l.Task >= c.to || j.tasks[l.Task] != waiting {
-			continue
-		}
-		m := p.machines[l.Machine]
-		if m == nil {
-			// The machine's record goes only after its return was answered
-			// with 200, so nothing of it can be live.
-			p.touch(c, l.Task)
-			continue
-		}
-		// An earlier owner's start counts as sent and seen: it is never
-		// repeated, since it may have been cleared.
-		pl := &Placement{job: j, task: l.Task, try: l.Try, machine: m, session: l.Session, sent: true, seen: true}
-		p.attach(pl)
-	}
-}
-
 func (p *Partition) attach(pl *Placement) {
 	j, m := pl.job, pl.machine
 	j.tasks[pl.task] = live
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -62,8 +62,7 @@
 			b[k] = math.Round(v*1000) / 1000
 		}
 	}
-	// The leader sizes for what fits into the record, the first in turn.
-	left := int(p.s.Cluster.State.ValueKB*1024) - 1024
+	left := maxDemandBytes
 	like := map[string]int{}
 	for _, q := range p.queues(now) {
 		for _, j := range q.jobs {
@@ -78,10 +77,7 @@
 				continue
 			}
 			d := demand(j, n)
-			size := demandBytes + len(d.Zone)
-			for _, t := range d.Types {
-				size += len(t) + 3
-			}
+			size := d.bytes()
 			// Arrays that ask for the same are one demand.
 			key := ""
 			if !d.Gang && d.ZoneMax == 0 && !d.OneZone {
@@ -106,6 +102,46 @@
 	return s
 }
 
+// summaryBytes is set aside for what a summary's record holds beside the waiting tasks.
+const summaryBytes = 1024
+
+// maxDemandBytes bounds what a summary tells of waiting tasks, those first in turn: the
+// leader has to read it every second.
+const maxDemandBytes = 12 << 10
+
+// bytes bounds a demand's size in the protocol's measure from above.
+func (d *Demand) bytes() int {
+	size := demandBytes + len(d.Zone)
+	for _, t := range d.Types {
+		size += len(t) + 3
+	}
+	return size
+}
+
+// SplitWaiting leaves those demands in the summary that fit its record, and returns the
+// rest, split into records.
+func (s *Summary) SplitWaiting(valueKB float64) [][]Demand {
+	limit := int(valueKB * 1024)
+	all := s.Waiting
+	s.Waiting = nil
+	var more [][]Demand
+	left := limit - summaryBytes
+	for _, d := range all {
+		size := d.bytes()
+		if size > left {
+			more = append(more, nil)
+			left = limit - groupBytes
+		}
+		left -= size
+		if len(more) == 0 {
+			s.Waiting = append(s.Waiting, d)
+		} else {
+			more[len(more)-1] = append(more[len(more)-1], d)
+		}
+	}
+	return more
+}
+
 // MachineNotes splits the notes into records that fit a value, in the order of names.
 func (s *Summary) MachineNotes(valueKB float64) []map[string]MachineNote {
 	ids := sortedKeys(s.Machines)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,6 +29,9 @@
 	ErrUnknown = errors.New("state: outcome unknown")
 	// ErrCompacted: a watch began too far back; read the keys again.
 	ErrCompacted = errors.New("state: revision too old")
+	// ErrInvalid: the request is malformed or over a limit of size, was not executed, and
+	// never will be as it is.
+	ErrInvalid = errors.New("state: request not valid")
 	// ErrNoLease: a put named a lease that has ended.
 	ErrNoLease = errors.New("state: lease has ended")
 )
@@ -165,6 +168,9 @@
 		if p.Error == "no such lease" {
 			return ErrNoLease
 		}
+		if resp.StatusCode == http.StatusBadRequest {
+			return fmt.Errorf("%w: %s", ErrInvalid, p.Error)
+		}
 		return fmt.Errorf("state: status %d %s", resp.StatusCode, p.Error)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -145,6 +145,11 @@
 	// MinJournalBytes: a journal record is not begun in a transaction that has less
 	// room than this left.
 	MinJournalBytes = 1 << 10
+	// SummaryShare: share of the state service's rate of changes that summaries may take.
+	SummaryShare = 0.15
+	// ConversionGap: least time between two records rewritten only for their format, four
+	// a second: a few hundred are converted in a minute or two, beside the usual changes.
+	ConversionGap = 250 * time.Millisecond
 	// TxnBytes: bytes that one transaction may take; the service allows 64 KiB.
 	TxnBytes = 48 << 10
 	// GCPercent: growth of the heap, in per cent of what lives, between two collections.
