--- a/internal/core/check.go
+++ b/internal/core/check.go
@@ -42,7 +42,7 @@
 		return "a task fits no allowed machine type"
 	}
 	all := r
-	if j.Shape == wire.Gang {
+	if j.Shape == wire.Gang || isService(j) {
 		all = r.times(j.Tasks)
 	}
 	if t := (&team{Team: c}); !t.within(all) {
--- a/internal/core/gather.go
+++ b/internal/core/gather.go
@@ -86,9 +86,9 @@
 	for _, k := range sortedAttempts(m.places) {
 		pl := m.places[k]
 		o := pl.job
-		left := o.Estimate + p.fetch(o, m)
+		left := runSeconds(o.Job) + p.fetch(o, m)
 		if !pl.began.IsZero() {
-			left = max(o.Estimate-now.Sub(pl.began).Seconds(), 1)
+			left = max(runSeconds(o.Job)-now.Sub(pl.began).Seconds(), 1)
 		}
 		ends = append(ends, end{left, need(o.Job)})
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -61,6 +61,7 @@
 	failedOn map[string]bool
 	retryAt  time.Time
 	backoff  float64
+	restarts map[int]restart // of a service's replicas that ended soon after their start
 	// A search for room is repeated only after room has changed.
 	noRoom    int
 	preempted time.Time
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -105,6 +105,9 @@
 			p.requeue(pl, now)
 		}
 	}
+	for _, j := range p.jobs {
+		delete(j.failedOn, id)
+	}
 	delete(p.machines, id)
 	p.order = sortedKeys(p.machines)
 	p.room++
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -118,7 +118,10 @@
 // due is when a job's turn is. Without a deadline, little work comes before much:
 // that gets the most jobs over in good time, and age still wins in the end.
 func (p *Partition) due(j *Job) time.Time {
-	if j.Deadline > 0 {
+	switch {
+	case isService(j.Job):
+		return j.At
+	case j.Deadline > 0:
 		return j.At.Add(tuning.Seconds(j.Deadline - j.Estimate))
 	}
 	work := (float64(j.Tasks-j.done)*j.Estimate + j.fetchS) * max(j.CPUs, 1)
@@ -190,7 +193,10 @@
 	if j.noRoom == p.room {
 		return false
 	}
-	n := min(j.waiting, slice)
+	n := min(j.waitingAt(now), slice)
+	if n == 0 {
+		return false
+	}
 	if j.overdue {
 		n = min(n, firstSlice)
 	}
@@ -226,7 +232,7 @@
 		if k == len(where) {
 			break
 		}
-		if j.tasks[i] != waiting {
+		if !j.startableAt(i, now) {
 			continue
 		}
 		m := where[k]
@@ -243,7 +249,7 @@
 		p.Started++
 		k++
 	}
-	return j.waiting > 0 && j.Shape != wire.Gang
+	return j.waitingAt(now) > 0 && j.Shape != wire.Gang
 }
 
 // trimImages keeps the guess of a machine's cache to the most recently used.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -184,6 +184,11 @@
 	switch t.Cause {
 	case wire.CauseDone:
 		clear(m.failures)
+		if isService(j.Job) {
+			p.replicaEnded(pl, now)
+			p.requeue(pl, now)
+			return
+		}
 		j.backoff = 0
 		if j.Shape == wire.Gang {
 			p.finishGang(j)
@@ -192,6 +197,9 @@
 		}
 		p.detach(pl)
 	case wire.CauseError:
+		if isService(j.Job) {
+			p.replicaEnded(pl, now)
+		}
 		p.failed(j, m, now)
 		p.requeue(pl, now)
 	case wire.CauseIncomplete:
@@ -238,7 +246,7 @@
 		m.sick = true
 		p.room++
 	}
-	if len(j.failedOn) >= 2 {
+	if len(j.failedOn) >= 2 && !isService(j.Job) {
 		// A job that fails everywhere must not keep machines busy or rented.
 		if j.backoff == 0 {
 			j.backoff = p.t.ErrorBackoffS
@@ -260,6 +268,11 @@
 		switch {
 		case !pl.sent:
 			p.requeue(pl, now)
+		case isService(j.Job):
+			// It runs on until the machine goes, unless there is another to go to.
+			if pl.state != wire.RunningTask || len(p.fit(j, 1, now, p.all(), (*Machine).free)) > 0 {
+				p.stop(pl, 0, now)
+			}
 		case pl.state != wire.RunningTask || j.Checkpoint > 0:
 			p.stopWhole(pl, now)
 		}
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -69,7 +69,7 @@
 			if j.held && now.Sub(j.preempted).Seconds() < p.t.PreemptGapS {
 				continue
 			}
-			n := min(j.waiting, q.team.left(need(j.Job)))
+			n := min(j.waitingAt(now), q.team.left(need(j.Job)))
 			if j.Shape == wire.Gang && n < j.Tasks {
 				continue
 			}
@@ -81,7 +81,7 @@
 			// Arrays that ask for the same are one demand.
 			key := ""
 			if !d.Gang && d.ZoneMax == 0 && !d.OneZone {
-				key = fmt.Sprint(d.Types, d.Zone, d.Spot, d.CPUs, d.GPUs, d.RAM, d.Level)
+				key = fmt.Sprint(isService(j.Job), d.Types, d.Zone, d.Spot, d.CPUs, d.GPUs, d.RAM, d.Level)
 				if i, ok := like[key]; ok {
 					o := &s.Waiting[i]
 					o.Seconds = math.Round((o.Seconds*float64(o.Tasks)+d.Seconds*float64(n))/float64(o.Tasks+n)*10) / 10
@@ -162,7 +162,7 @@
 
 func demand(j *Job, n int) Demand {
 	d := Demand{Types: j.Types, Zone: j.Zone, Spot: j.Spot, OneZone: j.OneZone, Gang: j.Shape == wire.Gang,
-		CPUs: j.CPUs, GPUs: j.GPUs, RAM: j.RAM, Tasks: n, Seconds: j.Estimate, Level: j.Rank.Level()}
+		CPUs: j.CPUs, GPUs: j.GPUs, RAM: j.RAM, Tasks: n, Seconds: runSeconds(j.Job), Level: j.Rank.Level()}
 	if j.Spread {
 		d.ZoneMax = (j.Tasks + 1) / 2
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -63,6 +63,10 @@
 	// error; doubled each time up to ErrorBackoffMaxS.
 	ErrorBackoffS    float64
 	ErrorBackoffMaxS float64
+	// RestartBackoffS: seconds that a service's replica waits which ended within SettledS of
+	// its start; doubled each time up to ErrorBackoffMaxS. The first wait is short, for a
+	// single end is mostly no sign of more.
+	RestartBackoffS float64
 	// SickErrors: failures of different jobs' tasks, with none done
 	// in between, after which a machine counts as faulty.
 	SickErrors int
@@ -121,7 +125,7 @@
 		Parts: 1, HoldS: 4, StateTimeoutS: 2, FreshS: 3, NewsS: 1, MarginS: 1, Drift: 0.001,
 		TickS: 0.5, PassGapS: 0.1, RoundS: 5, InFlightTarget: 1.0, QueueTarget: 1, HorizonS: 60, GiveBackS: 30,
 		ListS: 3, SummaryS: 1, BootPatience: 3, RefusalS: 10, RefusalMaxS: 60,
-		ErrorBackoffS: 5, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 180, OverdueS: 180, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
+		ErrorBackoffS: 5, RestartBackoffS: 1, ErrorBackoffMaxS: 120, SickErrors: 3, PreemptGapS: 10, SearchGapS: 1, SettledS: 30, WorkWeight: 0.05, LoadStep: 0.5, StarveS: 180, OverdueS: 180, ForceS: 210, ConsolidateS: 10, OrdinaryCostS: 15, GraceS: 2,
 		UserWaitS: 1.5, RetryAfterS: 1, ShareReserve: 0.08, LeaderShare: 0.25, FinalCache: 4096,
 	}
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -14,8 +14,7 @@
 const (
 	Array Shape = "array"
 	Gang  Shape = "ensemble"
-	// Service is named by the deployments' lists of words, not by the
-	// protocol's page: independent tasks that run until their user cancels.
+	// Service: independent tasks, its replicas, that run until the job is cancelled.
 	Service Shape = "service"
 )
 
@@ -154,6 +153,9 @@
 			return nil, errors.New("amount out of range")
 		}
 	}
+	if j.Shape == Service && j.Estimate != 0 {
+		return nil, errors.New("a service has no estimate of its run time")
+	}
 	if s.Types != nil {
 		j.Types = *s.Types
 		if len(j.Types) == 0 || len(j.Types) > maxTypes {
