--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -22,7 +22,7 @@
 	st := c.limits
 	n := float64(c.settings.Cluster.Count)
 	c.mu.Lock()
-	f := 0.4/n + 0.6*float64(len(c.owned))/float64(c.partitions)
+	f := tuning.BaseShare/n + (1-tuning.BaseShare)*float64(len(c.owned))/float64(c.partitions)
 	if c.leading {
 		f = min(1, f+c.tuning.LeaderShare)
 	}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -189,7 +189,7 @@
 	}
 	rec := core.JobRecord{Job: j, Phase: wire.Queued, Part: c.partitionOf(j), At: time.Now().UnixMilli()}
 	key := core.JobKey(j.ID)
-	_, err = c.store.Commit(ctx, wire.Txn{
+	_, err = c.store.CommitFirst(ctx, wire.Txn{
 		If: []wire.Cond{{Key: key, Revision: 0}},
 		Then: []wire.Write{
 			{Put: key, Value: rec},
@@ -274,7 +274,7 @@
 			return view(r), nil
 		}
 		r.Phase = wire.Cancelled
-		_, err = c.store.Commit(ctx, wire.Txn{
+		_, err = c.store.CommitFirst(ctx, wire.Txn{
 			If: []wire.Cond{{Key: core.JobKey(id), Revision: stamp}},
 			Then: []wire.Write{
 				{Put: core.JobKey(id), Value: r},
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -248,6 +248,28 @@
 			return 0, err
 		}
 	}
+	return c.commit(ctx, t)
+}
+
+// CommitFirst is Commit ahead of those that wait for the budget: its changes are taken from
+// the budget, but waited for only if that is overdrawn by more than a moment's worth. It
+// is for what users wait for.
+func (c *Client) CommitFirst(ctx context.Context, t wire.Txn) (uint64, error) {
+	if n := len(t.Then); n > 0 {
+		r := c.writes.ReserveN(time.Now(), n)
+		if !r.OK() || r.Delay() > maxOverdraft {
+			r.Cancel()
+			return c.Commit(ctx, t)
+		}
+	}
+	return c.commit(ctx, t)
+}
+
+// maxOverdraft is by how much the budget of changes may be overdrawn, as the time in which
+// it is made up for. The state service allows bursts of a second's worth.
+const maxOverdraft = time.Second
+
+func (c *Client) commit(ctx context.Context, t wire.Txn) (uint64, error) {
 	if t.If == nil {
 		t.If = []wire.Cond{}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -149,6 +149,10 @@
 	// MinJournalBytes: a journal record is not begun in a transaction that has less
 	// room than this left.
 	MinJournalBytes = 1 << 10
+	// BaseShare: share of the state service's limits that all nodes have alike, for users'
+	// requests; the rest goes to the owners of partitions. Users' changes go ahead of the
+	// budget, so that it need not hold what their peaks take.
+	BaseShare = 0.2
 	// SummaryShare: share of the state service's rate of changes that summaries may take.
 	SummaryShare = 0.15
 	// ConversionGap: least time between two records rewritten only for their format, four
