--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,8 @@
 	partitions int
 	// limits are those of the state service that all that is written keeps to.
 	limits config.StateLimits
+	// announced is the feature level that this node says it knows.
+	announced core.FeatureLevel
 	// forwarders pass workers' reports on, by the node that they go to.
 	forwarders map[string]*forwarder
 	// telling holds a place for each cancellation that an owner is told of.
@@ -56,7 +58,7 @@
 func New(s *config.Settings, t tuning.Tuning, n transport.Net) *Controller {
 	st := s.WriteLimits()
 	c := &Controller{
-		settings: s, limits: st, tuning: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, partitions: t.Parts,
+		settings: s, limits: st, announced: core.CurrentLevel, tuning: t, net: n, cluster: newCluster(), peers: map[string]*mesh.Peer{}, partitions: t.Parts,
 		owned: map[int]*ownedPartition{}, finals: map[string]core.JobRecord{}, addrs: map[string]string{}, visits: map[string]visit{}, forwarders: map[string]*forwarder{}, restPart: map[int]time.Time{},
 		store:   store.New(store.Options{Net: n, Addr: s.Outside.State, Timeout: tuning.Seconds(t.StateTimeoutS), ReadRate: st.RPS, WriteRate: st.WriteRPS}),
 		cloud:   cloud.New(n, s.Outside.Cloud, s.Cluster.Cloud.RPS),
--- a/internal/controller/day_test.go
+++ b/internal/controller/day_test.go
@@ -44,6 +44,9 @@
 	stage  *standin.Stage
 	cancel map[string]func() // has the user of a job cancel it
 	looks  bool              // users ask at all nodes and repeat after each answer
+	next   *config.StateLimits
+	raised atomic.Bool  // the feature level has been raised
+	old    map[int]bool // nodes that do not know the newest feature level yet
 }
 
 var dayTypes = []wire.MachineType{
@@ -88,6 +91,7 @@
 // keepsEnds checks that the record of a job that is over keeps its end: whoever read it
 // before may have told so.
 func (d *day) keepsEnds(key string, was, now wire.Raw) {
+	d.keepsFormat(key, now)
 	var a, b core.JobRecord
 	if !strings.HasPrefix(key, core.JobKey("")) || len(was) == 0 || wire.Unmarshal(was, &a) != nil || wire.Unmarshal(now, &b) != nil {
 		return
@@ -125,6 +129,7 @@
 	}
 	c.Workers.ReportS, c.Workers.LeaseS, c.Workers.GangWaitS, c.Workers.GangPeerS, c.Workers.CancelS = 2, 14, 35, 5, 44
 	c.State.RPS, c.State.WriteRPS, c.State.ValueKB, c.State.TxnOps = 150, 50, 8, 12
+	c.State.Next = d.next
 	c.Cloud.RPS, c.Cloud.ListLagS = 5, 4
 	c.Limits.RAMMB, c.Limits.MaxSockets = 100, 700
 	return s
@@ -140,6 +145,9 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	host := d.fabric.Host(d.nodes[i].Name)
 	c := New(d.settings(i), d.tune, host)
+	if d.old[i] {
+		c.announced = core.FirstFormat
+	}
 	over := make(chan struct{})
 	var crashed atomic.Bool
 	d.up[i] = func() {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -90,7 +90,7 @@
 // enter writes what this node says of itself under its lease. Without an answer it is
 // written again, which changes nothing.
 func (c *Controller) enter(ctx context.Context) bool {
-	record := core.NodeRecord{Node: c.settings.Node, Level: core.CurrentLevel}
+	record := core.NodeRecord{Node: c.settings.Node, Level: c.announced}
 	put := wire.Write{Put: nodePrefix + c.settings.Node, Value: record, Lease: c.currentLease()}
 	_, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{put}})
 	if err != nil {
--- /dev/null
+++ b/internal/controller/upgrade_test.go
@@ -0,0 +1,325 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/core"
+	"ambersill/internal/standin"
+	"ambersill/internal/wire"
+)
+
+// lowered are limits far below those of the days' settings.
+var lowered = config.StateLimits{WriteRPS: 36, ValueKB: 2, TxnOps: 4}
+
+// keepsFormat checks that as long as the feature level has not been raised only what
+// programs of the first format read is written. The state service's lock is held.
+func (d *day) keepsFormat(key string, value wire.Raw) {
+	if key == levelKey {
+		d.raised.Store(true)
+	}
+	id, name, ok := core.SplitChunkKey(key)
+	if !ok || !strings.HasPrefix(key, core.ChunkPrefix(0)) || d.raised.Load() {
+		return
+	}
+	var r core.ChunkRecord
+	if err := wire.Unmarshal(value, &r); err != nil {
+		d.t.Errorf("record %s: %v", key, err)
+	}
+	if _, err := strconv.Atoi(name); err != nil || r.To > 0 || r.From > 0 {
+		d.t.Errorf("chunk %s of %s is written in the new format below its level", name, id)
+	}
+}
+
+// rollOut restarts the nodes one after the other; each comes back with the new version.
+func (d *day) rollOut(every time.Duration) {
+	for i := range d.nodes {
+		time.Sleep(every)
+		d.crash(i)
+		time.Sleep(time.Second)
+		d.mu.Lock()
+		delete(d.old, i)
+		d.mu.Unlock()
+		d.start(i)
+	}
+}
+
+// asOld has all nodes be of the old version until they are rolled out.
+func (d *day) asOld() {
+	d.next = &lowered
+	d.old = map[int]bool{0: true, 1: true, 2: true}
+}
+
+// lower has the state service lower its limits.
+func (d *day) lower() {
+	d.state.Limit(config.StateLimits{WriteRPS: lowered.WriteRPS, ValueKB: lowered.ValueKB, TxnOps: lowered.TxnOps})
+}
+
+// upgradeDay is a day on which no node is up at first, and all are of the old version.
+func upgradeDay(t *testing.T, seed uint64, perKind int, f func(d *day)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDay(t, ctx, seed)
+		d.asOld()
+		for i := range d.cloud.Capacity {
+			d.cloud.Capacity[i].Count = perKind
+		}
+		f(d)
+		cancel()
+		d.wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+// service is a service that its user cancels after a while.
+func service(n, replicas int, cpus float64) *wire.Job {
+	return &wire.Job{ID: fmt.Sprintf("req-%06d", n), Class: "s", Team: "free", Shape: wire.Service, Rank: "production", Tasks: replicas,
+		CPUs: cpus, RAM: 4, Image: "srv", ImageGB: 1}
+}
+
+// The limits are lowered while nodes end, also in the middle of the conversion: nothing
+// is refused for its size, and large jobs of before the upgrade end as they should.
+func TestLimitsLoweredAfterTheUpgrade(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		f    func(d *day)
+	}{
+		{"nothing else", func(*day) {}},
+		{"the owner ends", func(d *day) {
+			if i, _ := d.owner(); i >= 0 {
+				d.crash(i)
+				time.Sleep(2 * time.Second)
+				d.start(i)
+			}
+		}},
+		{"all end, again and again", func(d *day) {
+			for range 3 {
+				for i := range d.nodes {
+					d.crash(i)
+				}
+				time.Sleep(time.Second)
+				for i := range d.nodes {
+					d.start(i)
+				}
+				time.Sleep(5 * time.Second)
+			}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) { limitsLowered(t, row.f) })
+	}
+}
+
+func limitsLowered(t *testing.T, trouble func(d *day)) {
+	upgradeDay(t, 8, 20, func(d *day) { // 80 machines of 8 CPUs
+		for i := range d.nodes {
+			d.start(i)
+		}
+		for n := range 3 { // 250 tasks that run at a time, in two chunks
+			d.submit(largeArray(n, 250, 1, 100), 0)
+		}
+		d.submit(service(50, 6, 1), 4*time.Minute)
+		time.Sleep(70 * time.Second)
+		d.rollOut(4 * time.Second)
+		time.Sleep(6 * time.Second)
+		if !d.raised.Load() {
+			d.t.Fatal("all nodes are new, and the feature level is not raised")
+		}
+		trouble(d)
+		d.lower()
+		d.submit(largeArray(10, 150, 1, 20), 0)
+		trouble(d)
+		d.finish(20 * time.Minute)
+		if why := d.state.Invalid(); len(why) > 0 {
+			d.t.Errorf("%d requests not valid, first %s", len(why), why[0])
+		}
+	})
+}
+
+// As long as one node is old or has not been heard of, the level stays.
+func TestLevelWaitsForAllNodes(t *testing.T) {
+	upgradeDay(t, 3, 4, func(d *day) {
+		delete(d.old, 0)
+		delete(d.old, 1)
+		d.start(0)
+		d.start(1)
+		d.submit(largeArray(1, 20, 1, 20), 0)
+		time.Sleep(40 * time.Second)
+		if d.raised.Load() {
+			d.t.Error("raised while a node has not been heard of")
+		}
+		d.start(2) // old
+		time.Sleep(20 * time.Second)
+		if d.raised.Load() {
+			d.t.Error("raised while a node is old")
+		}
+		d.crash(2)
+		delete(d.old, 2)
+		d.start(2)
+		time.Sleep(10 * time.Second)
+		if !d.raised.Load() {
+			d.t.Error("not raised with all nodes new")
+		}
+		d.finish(10 * time.Minute)
+	})
+}
+
+// A replica that ends, or whose machine is taken, hangs or fails all, runs again; the user
+// is never told that its service is done; cancelled, all of it goes.
+func TestReplicasArePutBack(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		f    func(d *day)
+	}{
+		{"a replica ends by itself", func(d *day) {
+			ended := false
+			d.world.ReplicaEnds = func(_ *wire.Job, task int) (time.Duration, bool) {
+				first := task == 1 && !ended
+				ended = ended || first
+				return 45 * time.Second, first
+			}
+		}},
+		{"its machine ends", func(d *day) { d.later(45*time.Second, func() { d.cloud.Take(d.cloud.Workers()[0].M.ID) }) }},
+		{"its machine hangs, and goes on with it", func(d *day) {
+			d.later(45*time.Second, func() { d.cloud.Workers()[0].Hang(40 * time.Second) })
+		}},
+		{"its machine has notice", func(d *day) {
+			d.later(45*time.Second, func() {
+				w := d.cloud.Workers()[0]
+				w.Warn(20 * time.Second)
+				time.AfterFunc(20*time.Second, func() { d.cloud.Take(w.M.ID) })
+			})
+		}},
+		{"its machine fails all, and it starts there first", func(d *day) {
+			d.later(45*time.Second, func() {
+				ws := d.cloud.Workers()
+				ws[0].Fail(true)
+				d.cloud.Take(ws[1].M.ID)
+			})
+		}},
+		{"the owner ends as it is put back", func(d *day) {
+			d.later(45*time.Second, func() {
+				d.cloud.Take(d.cloud.Workers()[0].M.ID)
+				time.Sleep(35 * time.Second)
+				if i, _ := d.owner(); i >= 0 {
+					d.crash(i)
+					time.Sleep(time.Second)
+					d.start(i)
+				}
+			})
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			play(t, 4, 1, false, func(d *day) {
+				row.f(d)
+				d.submit(service(1, 4, 6), 4*time.Minute) // one on a machine
+				time.Sleep(3 * time.Minute)
+				if n := d.world.Replicas("req-000001"); n != 4 {
+					d.t.Errorf("%d replicas of 4 run", n)
+				}
+				d.finish(10 * time.Minute)
+				if p := d.ended["req-000001"]; p != wire.Cancelled {
+					d.t.Errorf("the service ended as %s", p)
+				}
+			})
+		})
+	}
+}
+
+// later does something after a while.
+func (d *day) later(after time.Duration, f func()) {
+	go func() {
+		time.Sleep(after)
+		if d.ctx.Err() == nil {
+			f()
+		}
+	}()
+}
+
+// A replica that ends again and again soon after its start is not started at once for ever.
+func TestReplicaThatEndsAtOnceBacksOff(t *testing.T) {
+	play(t, 6, 1, false, func(d *day) {
+		d.world.ReplicaEnds = func(_ *wire.Job, task int) (time.Duration, bool) { return time.Second, task == 0 }
+		d.submit(service(1, 2, 2), 5*time.Minute)
+		time.Sleep(4 * time.Minute)
+		if n := d.world.Starts(); n < 6 || n > 14 {
+			d.t.Errorf("%d starts", n)
+		}
+		d.finish(10 * time.Minute)
+	})
+}
+
+// A team's services are replaced within its limit, and one of more than that is refused.
+func TestServiceAtItsTeamsLimit(t *testing.T) {
+	play(t, 4, 1, false, func(d *day) {
+		j := service(1, 5, 8) // all of the team's 40 CPUs
+		j.Team = "blue"
+		d.submit(j, 3*time.Minute)
+		more := service(2, 6, 8)
+		more.Team = "blue"
+		u := &standin.User{World: d.world, Net: d.fabric.Host("user"), Pick: func() standin.Node { return d.nodes[0] }}
+		if p := u.Follow(d.ctx, more); p != "" {
+			d.t.Errorf("a service above its team's limit ended as %s", p)
+		}
+		d.later(time.Minute, func() { d.cloud.Workers()[0].Hang(30 * time.Second) })
+		time.Sleep(150 * time.Second)
+		if n := d.world.Replicas(j.ID); n != 5 {
+			d.t.Errorf("%d replicas of 5 run", n)
+		}
+		d.finish(10 * time.Minute)
+	})
+}
+
+// Random days with a rollout, services and lowered limits, on which troubles from the whole
+// vocabulary meet in pairs. SEEDS plays more.
+func TestRoughUpgrades(t *testing.T) {
+	seeds := 4
+	if n, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		seeds = n
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(uint64(seed), 9))
+			script := pairs(rnd, 3*time.Minute)
+			m := meeting{seed: uint64(300 + seed), looks: seed%2 == 1, script: script,
+				setup: func(d *day) {
+					d.asOld()
+					d.world.ReplicaEnds = func(*wire.Job, int) (time.Duration, bool) {
+						return time.Duration(5+rnd.IntN(100)) * second, rnd.IntN(4) == 0
+					}
+				},
+				jobs: func(d *day) {
+					go func() {
+						time.Sleep(20 * second)
+						d.rollOut(10 * second)
+						time.Sleep(time.Duration(rnd.IntN(60)) * second)
+						for !d.raised.Load() && d.ctx.Err() == nil {
+							time.Sleep(second)
+						}
+						time.Sleep(time.Duration(10+rnd.IntN(20)) * second)
+						d.lower()
+					}()
+					for n := range 4 {
+						j := service(900+n, 1+rnd.IntN(4), 1+float64(rnd.IntN(3)))
+						j.Spread = rnd.IntN(2) == 0
+						d.submit(j, time.Duration(60+rnd.IntN(200))*second)
+					}
+					d.jobs(0, 30, 170*second)
+				},
+			}
+			m.play(t)
+			if t.Failed() {
+				for _, x := range script {
+					t.Logf("%+v", x)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/journal_test.go
+++ b/internal/core/journal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"ambersill/internal/wire"
 
@@ -17,7 +18,8 @@
 	vals map[string]wire.Raw
 	at   map[string]uint64
 	late []wire.Txn
-	big  int // bytes of the largest value
+	big  int // bytes of the largest value since the limits were lowered, as JSON
+	ops  int // changes of the largest transaction since
 }
 
 func (s *plainState) apply(t wire.Txn) bool {
@@ -27,6 +29,7 @@
 		}
 	}
 	s.rev++
+	s.ops = max(s.ops, len(t.Then))
 	for _, w := range t.Then {
 		if w.Put == "" {
 			delete(s.vals, w.Delete)
@@ -38,7 +41,7 @@
 			panic(err)
 		}
 		s.vals[w.Put], s.at[w.Put] = v, s.rev
-		s.big = max(s.big, len(v))
+		s.big = max(s.big, valueBytes(w.Value))
 	}
 	return true
 }
@@ -69,8 +72,10 @@
 }
 
 // successor is a new owner that knows only what the state service holds.
-func (s *plainState) successor(t *rapid.T, machines []string) *bed {
+func (s *plainState) successor(t *rapid.T, machines []string, b *bed) *bed {
 	o := newBed()
+	o.limits = b.limits
+	o.SetLevel(b.level)
 	o.slots = make([]uint64, testRing)
 	for _, id := range machines {
 		o.machine(id, "cpu", "a", false)
@@ -115,11 +120,17 @@
 // What a new owner reads, at any moment and whatever became of single commits,
 // must hold every start that may have left and every end that was cleared, and no
 // end that never came. Records must stay within the service's limits.
+//
+// At some moment the feature level is raised, and later the limits are lowered: what is
+// stored by then is larger than what may be written.
 func TestJournalSurvivesATakeover(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBed()
 		b.slots = make([]uint64, testRing)
-		b.s.Cluster.State.TxnOps = rapid.SampledFrom([]int{3, 6}).Draw(t, "ops")
+		b.limits.TxnOps = rapid.SampledFrom([]int{3, 6}).Draw(t, "ops")
+		raised := rapid.IntRange(0, 60).Draw(t, "raised")
+		lowered := raised + rapid.IntRange(1, 20).Draw(t, "lowered after")
+		limitKB := rapid.SampledFrom([]float64{1, 1.5, 2}).Draw(t, "KiB")
 		s := &plainState{rev: 1000, vals: map[string]wire.Raw{}, at: map[string]uint64{PartitionKey(0): b.Stamp}}
 		machines := []string{"m-1", "m-2", "m-3"}
 		for _, id := range machines {
@@ -136,6 +147,14 @@
 			if round%3 == 0 {
 				submit(round)
 			}
+			if round == raised {
+				b.SetLevel(SizedChunks)
+			}
+			if round == lowered {
+				b.limits.ValueKB, b.limits.TxnOps = limitKB, 3
+				s.big, s.ops = 0, 0
+			}
+			b.now = b.now.Add(time.Second)
 			b.Schedule(b.now)
 			for range 4 {
 				x := b.Batch()
@@ -159,7 +178,7 @@
 				}
 				b.report(id)
 			}
-			o := s.successor(t, machines)
+			o := s.successor(t, machines, b)
 			for id, j := range b.jobs {
 				k := o.jobs[id]
 				if k == nil {
@@ -194,8 +213,8 @@
 					}
 				}
 			}
-			if s.big > 8<<10 {
-				t.Fatalf("a value of %d bytes", s.big)
+			if s.big > int(b.limits.ValueKB*1024) || s.ops > b.limits.TxnOps {
+				t.Fatalf("round %d: a value of %d bytes, a transaction of %d changes", round, s.big, s.ops)
 			}
 		}
 		// With every commit served, what a new owner reads is all there is.
@@ -209,7 +228,7 @@
 		if len(b.dirty) > 0 {
 			t.Fatalf("%d chunks are not recorded in the end", len(b.dirty))
 		}
-		o := s.successor(t, machines)
+		o := s.successor(t, machines, b)
 		for id, j := range b.jobs {
 			if k := o.jobs[id]; k.done != j.done || k.waiting != j.waiting || k.try < j.try {
 				t.Fatalf("%s: %d done, %d waiting, attempt %d; a new owner reads %d, %d, %d", id, j.done, j.waiting, j.try, k.done, k.waiting, k.try)
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -55,17 +55,26 @@
 
 // jsonBytes is a value's size in the protocol's measure.
 func jsonBytes(t *testing.T, v any) int {
+	n := valueBytes(v)
+	if n == 0 {
+		t.Fatalf("%v has no size", v)
+	}
+	return n
+}
+
+// valueBytes is jsonBytes; 0 for what is no value.
+func valueBytes(v any) int {
 	raw, err := wire.Marshal(v)
 	if err != nil {
-		t.Fatal(err)
+		return 0
 	}
 	var plain any
-	if err := wire.Unmarshal(raw, &plain); err != nil {
-		t.Fatal(err)
+	if wire.Unmarshal(raw, &plain) != nil {
+		return 0
 	}
 	out, err := json.Marshal(textKeys(plain))
 	if err != nil {
-		t.Fatal(err)
+		return 0
 	}
 	return len(out)
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -73,6 +73,8 @@
 	slow    time.Duration  // that answers take
 	stuck   bool           // watches are answered with nothing, while all else is served
 	noLists bool           // listings are refused
+	limits  *limits        // on what is written; nil: none
+	invalid []string       // why requests were answered 400
 	listed  int            // items that listings have held
 }
 
@@ -397,6 +399,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	if s.limits != nil {
+		if why := s.limits.exceeded(t); why != "" {
+			s.invalid = append(s.invalid, why)
+			return http.StatusBadRequest, wire.Problem{Error: why}
+		}
+		if !s.limits.changes.AllowN(time.Now(), len(t.Then)) {
+			return http.StatusTooManyRequests, wire.Problem{Error: "too many changes"}
+		}
+	}
 	for _, o := range t.Then {
 		if o.Put != "" && o.Hold != 0 {
 			if _, ok := s.holds[o.Hold]; !ok {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -31,6 +31,9 @@
 	Cancelled time.Duration // cancel_s
 	// RunTime of a task; nil: its estimate.
 	RunTime func(j *wire.Job, task int) time.Duration
+	// ReplicaEnds, if set, tells whether a replica of a service ends by itself, and how
+	// long after its start.
+	ReplicaEnds func(j *wire.Job, task int) (time.Duration, bool)
 	// Copies, if set, is shown each report, and may send copies of it to nodes later.
 	Copies func(r *wire.Report, send func(to Node))
 	// Ended, if set, is told when the last task of a job completes.
@@ -139,6 +142,22 @@
 	return w.again
 }
 
+// Replicas counts the tasks of a job that run.
+func (w *World) Replicas(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	j := w.jobs[id]
+	if j == nil {
+		return 0
+	}
+	n := 0
+	for i := range j.Tasks {
+		n += len(w.on[wire.TaskName(id, i)])
+	}
+	return n
+}
+
 // Running counts the tasks on machines.
 func (w *World) Running() int {
 	w.mu.Lock()
@@ -277,15 +296,21 @@
 		return
 	}
 	now := time.Now()
-	here := map[string]bool{} // jobs with a task on some machine, fetching ones included
+	here := map[string]int{} // tasks on some machine, fetching ones included, by job
 	for _, k := range up {
 		for _, t := range k.tasks {
-			here[t.job.ID] = true
+			if t.state != wire.Exited {
+				here[t.job.ID]++
+			}
 		}
 	}
 	for id := range w.taken {
 		j := w.jobs[id]
-		if here[id] || w.told[id].Final() || w.allDone(j) || !w.fits(j, up) {
+		enough := 1
+		if j.Shape == wire.Service {
+			enough = j.Tasks // each replica has to be there
+		}
+		if here[id] >= enough || w.told[id].Final() || w.allDone(j) || !w.fits(j, up) {
 			delete(w.idle, id)
 			continue
 		}
@@ -425,6 +450,13 @@
 		k.after(t, time.Second, func() { k.exit(t, wire.CauseError, false) })
 	case j.Shape == wire.Gang:
 		w.gather(k, t)
+	case j.Shape == wire.Service:
+		t.state = wire.RunningTask
+		if w.ReplicaEnds != nil {
+			if d, ends := w.ReplicaEnds(j, t.index); ends {
+				k.after(t, d, func() { k.exit(t, wire.CauseDone, false) })
+			}
+		}
 	default:
 		t.state = wire.RunningTask
 		k.after(t, w.runTime(j, t.index), func() {
