--- a/internal/core/journal.go
+++ b/internal/core/journal.go
@@ -99,7 +99,7 @@
 // overwrite. It tells whether the journal can go on before those are committed.
 func (p *Partition) fold(b *Batch, size *int, most int) bool {
 	ring := uint64(len(p.slots))
-	due := p.foldable(b)
+	due := p.foldable(b, most)
 	if len(due) == 0 {
 		p.convert(b, size, most)
 		return true
@@ -124,13 +124,16 @@
 }
 
 // foldable lists the chunks whose journal entries the ring will soon overwrite, the
-// oldest first; of a job, what was split off before what it was split off from.
-func (p *Partition) foldable(b *Batch) []*chunk {
+// oldest first; of a job, what was split off before what it was split off from. Soon is
+// within two batches at least: with small values a batch writes many journal records, and
+// the ring once came round to a chunk between two looks.
+func (p *Partition) foldable(b *Batch, most int) []*chunk {
 	ring := uint64(len(p.slots))
+	soon := max(ring/4, 2*uint64(most))
 	var due []*chunk
 	oldest := map[*Job]uint64{}
 	for c := range p.unfolded {
-		if !c.job.dropping() && c.job != b.ended && c.oldest+ring*3/4 <= p.seq {
+		if !c.job.dropping() && c.job != b.ended && c.oldest+ring <= p.seq+soon {
 			due = append(due, c)
 			if seq, ok := oldest[c.job]; !ok || c.oldest < seq {
 				oldest[c.job] = c.oldest
