--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -168,8 +168,19 @@
 		}
 		d.crash(2)
 		delete(d.old, 2)
+		refused := 0
+		d.state.Faults = func(_ string, txn *wire.Txn) (standin.Fault, time.Duration) {
+			if len(txn.Then) > 0 && txn.Then[0].Put == nodePrefix+d.nodes[2].Name && refused < 3 {
+				refused++ // what a node says of itself is written until it is taken
+				return standin.Refuse, 0
+			}
+			return standin.NoFault, 0
+		}
 		d.start(2)
 		time.Sleep(10 * time.Second)
+		if refused < 3 {
+			d.t.Errorf("refused %d times", refused)
+		}
 		if !d.raised.Load() {
 			d.t.Error("not raised with all nodes new")
 		}
--- a/internal/core/journal_test.go
+++ b/internal/core/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -102,6 +103,24 @@
 	return o
 }
 
+// keepsFirstFormat checks that chunks' records are such as programs of before the feature
+// levels read: numbered, and without the tasks that they hold.
+func (s *plainState) keepsFirstFormat(t *rapid.T) {
+	for key, v := range s.vals {
+		_, name, ok := SplitChunkKey(key)
+		if !ok || !strings.HasPrefix(key, ChunkPrefix(0)) {
+			continue
+		}
+		var r ChunkRecord
+		if err := wire.Unmarshal(v, &r); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := strconv.Atoi(name); err != nil || r.From > 0 || r.To > 0 {
+			t.Fatalf("%s is in the new format below its level", key)
+		}
+	}
+}
+
 // shows tells whether some worker still knows of a task.
 func (b *bed) shows(task string) bool {
 	for _, on := range b.on {
@@ -178,6 +197,9 @@
 				}
 				b.report(id)
 			}
+			if b.level == FirstFormat {
+				s.keepsFirstFormat(t)
+			}
 			o := s.successor(t, machines, b)
 			for id, j := range b.jobs {
 				k := o.jobs[id]
--- a/internal/core/service_test.go
+++ b/internal/core/service_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,3 +114,26 @@
 		}
 	}
 }
+
+// A state service that finds a commit invalid is offered smaller ones from then on.
+func TestCommitsShrinkAfterAnInvalidOne(t *testing.T) {
+	b := newBed()
+	b.SetLevel(SizedChunks)
+	for i := range 40 {
+		b.machine(fmt.Sprintf("m-%d", i), "cpu", "a", false)
+	}
+	b.add(array("req-1", 300, 1))
+	b.Schedule(b.now)
+	before := b.Batch()
+	b.LowerLimits()
+	b.LowerLimits()
+	after := b.Batch()
+	for _, w := range after.Txn.Then {
+		if n := valueBytes(w.Value); n > 2<<10 {
+			t.Errorf("%s has %d bytes", w.Put, n)
+		}
+	}
+	if n := valueBytes(before.Txn.Then[0].Value); n <= 2<<10 || len(after.Txn.Then) == 0 || len(after.Txn.Then) > 3 {
+		t.Errorf("a value of %d bytes before, %d changes after", n, len(after.Txn.Then))
+	}
+}
