--- /dev/null
+++ b/internal/controller/addresses_test.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"ambersill/internal/core"
+	"ambersill/internal/wire"
+)
+
+// However many machines come and go, the addresses of those that are there are known, also
+// of far more than 4,000 at a time, and of those that are gone none is kept, though the
+// cloud's list goes on to show them for a while.
+func TestAddressesOfMachinesThatComeAndGo(t *testing.T) {
+	c := aloneController(t)
+	const generations, machines = 4, 6000
+	for generation := range generations {
+		var keys []string
+		for i := range machines {
+			id := fmt.Sprintf("m-%d-%d", generation, i)
+			g := core.GroupRecord{Machines: map[string]core.MachineRecord{id: {Type: "small", Zone: "a"}}}
+			keys = append(keys, machinePrefix+id)
+			c.cluster.apply(machinePrefix+id, must(wire.Marshal(g)), uint64(10+generation), false)
+			c.learn(id, "10.1.0.1:1")
+			if c.addr(id) == "" {
+				t.Fatalf("the address of machine %d is not known", i)
+			}
+		}
+		for _, key := range keys {
+			c.cluster.apply(key, nil, uint64(10+generation), true)
+			c.learn(key[len(machinePrefix):], "10.1.0.1:1") // as a list shows it that lags
+		}
+	}
+	if n := len(c.addrs); n > 0 {
+		t.Errorf("%d addresses of machines that are gone", n)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -217,14 +217,16 @@
 // Contact is the time since the state service last served this node.
 func (c *Controller) Contact() time.Duration { return c.store.SinceContact() }
 
-// learn notes where a machine can be reached.
+// learn notes where a machine can be reached. Of machines without a record nothing is
+// kept: the cloud's list goes on to show those that were returned, and what it tells of
+// them would stay for ever.
 func (c *Controller) learn(id, addr string) {
-	const most = 4096 // machines; far above what any deployment rents
-	c.mu.Lock()
-	if addr != "" && (len(c.addrs) < most || c.addrs[id] != "") {
-		c.addrs[id] = addr
+	if _, known := c.cluster.machine(id); !known || addr == "" {
+		return
 	}
-	c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addrs[id] = addr
 }
 
 // addr tells where a machine can be reached; "" if that is not known yet.
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -10,7 +10,8 @@
 	"ambersill/internal/wire"
 )
 
-// maxOver bounds the memory of ended jobs; a late word of a submission is seconds old.
+// maxOver is after how many ended jobs those before them are forgotten. A late word of a
+// submission is seconds old, in which far fewer end.
 const maxOver = 4096
 
 // Keys of the state service.
@@ -261,7 +262,7 @@
 	j.final = true
 	delete(p.jobs, j.ID)
 	if len(p.over) >= maxOver {
-		clear(p.over)
+		p.over, p.overBefore = map[string]bool{}, p.over
 	}
 	p.over[j.ID] = true
 	j.chunks[0].stamp = 0
--- /dev/null
+++ b/internal/core/over_test.go
@@ -0,0 +1,37 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"ambersill/internal/wire"
+)
+
+// A late word of a submission does not revive a job that has just ended, however many have
+// ended before it; and what is kept of ended jobs is bounded.
+func TestEndedJobsAreNotRevived(t *testing.T) {
+	b := newBed()
+	for n := range 3*maxOver + 10 {
+		j := array(fmt.Sprintf("req-%d", n), 1, 1)
+		b.comeAndEnd(&j)
+		if b.AddJob(&j, b.now, b.rev) != nil {
+			t.Fatalf("job %d lives again", n)
+		}
+		if n > 0 {
+			before := array(fmt.Sprintf("req-%d", n-1), 1, 1)
+			if b.AddJob(&before, b.now, b.rev) != nil {
+				t.Fatalf("job %d lives again after the next has ended", n-1)
+			}
+		}
+	}
+	if kept := len(b.over) + len(b.overBefore); kept > 2*maxOver {
+		t.Errorf("%d ended jobs are kept", kept)
+	}
+}
+
+// comeAndEnd has a job come and end.
+func (b *bed) comeAndEnd(j *wire.Job) {
+	b.rev++
+	b.Partition.end(b.AddJob(j, b.now, b.rev))
+	b.ending = b.ending[:0]
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -32,7 +32,9 @@
 	order  []string        // machine names, sorted
 	roomy  []*Machine      // those that could take work when the pass began
 	marks  map[string]bool // jobs marked as cancelled, by the last listing
-	over   map[string]bool // jobs that ended here, so that a late word of their submission does not revive them
+	// over are jobs that ended here, so that a late word of their submission does not
+	// revive them; overBefore those of before, once there were many.
+	over, overBefore map[string]bool
 	// The journal: the last number given out, the stamps of its keys, the chunks
 	// with changes to record and those whose records lack some of it.
 	seq      uint64
@@ -84,7 +86,7 @@
 		}
 		return j
 	}
-	if p.over[d.ID] {
+	if p.over[d.ID] || p.overBefore[d.ID] {
 		return nil
 	}
 	j := &Job{Job: d, At: at, Stamp: stamp, Cancelled: p.marks[d.ID], tasks: make([]taskState, d.Tasks), waiting: d.Tasks,
