--- a/cmd/ambersill/standin.go
+++ b/cmd/ambersill/standin.go
@@ -29,6 +29,9 @@
 	portMesh   = 19200
 )
 
+// sampleServiceTime is after how long users cancel sample services.
+const sampleServiceTime = 15 * time.Second
+
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 func standinCommand() *cobra.Command {
@@ -99,10 +102,14 @@
 	for i := range jobs {
 		j := &wire.Job{ID: fmt.Sprintf("req-%06d", i+1), Class: "sample", Team: "red", Shape: wire.Array, Rank: "standard", Tasks: 1 + i%4,
 			CPUs: 2, RAM: 4, Image: "img", ImageGB: 1, Estimate: 5, Spot: true}
-		if i%3 == 2 {
+		u := &standin.User{World: world, Net: transport.TCP{}, Pick: func() standin.Node { return world.Nodes[rand.IntN(nodes)] }}
+		switch i % 5 {
+		case 2:
 			j.Shape, j.Tasks = wire.Gang, 2
+		case 4:
+			j.Shape, j.Tasks, j.Estimate = wire.Service, 2, 0
+			u.CancelAfter = sampleServiceTime
 		}
-		u := &standin.User{World: world, Net: transport.TCP{}, Pick: func() standin.Node { return world.Nodes[rand.IntN(nodes)] }}
 		go func() {
 			phase := u.Follow(ctx, j)
 			fmt.Fprintf(out, "%s: %s of %d tasks is %s\n", j.ID, j.Shape, j.Tasks, phase)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,8 @@
 		{`public_addr = "127.0.0.1:1"`, `public_addr = "here"`, "public_addr"},
 		{`lease_s = 14.0`, `lease_s = 0.0`, "cluster.workers.lease_s"},
 		{`txn_ops = 12`, `txn_ops = 1`, "txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[cluster.state.next]\ntxn_ops = 1", "cluster.state.next.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[cluster.state.next]\nvalue_kb = -2.0", "cluster.state.next.value_kb"},
 		{`count = 1`, `count = 0`, "cluster.count"},
 		{`count = 1`, `count = "x"`, "count"},
 		{`node = "n0"`, `node = `, ""},
@@ -71,6 +73,30 @@
 	}
 }
 
+// What is written keeps to the lower of the present and the announced limits, each for
+// itself; one that is not announced stays.
+func TestWriteLimits(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want StateLimits
+	}{
+		{"", StateLimits{RPS: 150, WriteRPS: 25, ValueKB: 8, TxnOps: 12}},
+		{"[cluster.state.next]\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4", StateLimits{RPS: 150, WriteRPS: 18, ValueKB: 2, TxnOps: 4}},
+		{"[cluster.state.next]\nrps = 100.0\nvalue_kb = 16.0", StateLimits{RPS: 100, WriteRPS: 25, ValueKB: 8, TxnOps: 12}},
+	} {
+		s, err := Load(write(t, "s.toml", strings.Replace(good, "txn_ops = 12", "txn_ops = 12\n"+c.next, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.WriteLimits(); got != c.want {
+			t.Errorf("%q: %+v", c.next, got)
+		}
+		if s.Cluster.State.ValueKB != 8 {
+			t.Errorf("%q: the present limit is %v", c.next, s.Cluster.State.ValueKB)
+		}
+	}
+}
+
 func TestLoadPolicy(t *testing.T) {
 	v := tuning.Default()
 	if err := LoadPolicy(write(t, "p.star", "_min = 60\ndef twice(x):\n    return 2 * x\nGiveBackS = twice(_min)\nParts = 2\n"), &v); err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -29,6 +29,8 @@
 		"text for a number": func(m map[string]any) { m["ramGb"] = "64" },
 		"unknown rank":      func(m map[string]any) { m["rank"] = "high" },
 		"unknown shape":     func(m map[string]any) { m["shape"] = "pair" },
+		"good: service":     func(m map[string]any) { m["shape"], m["guessS"] = "service", 0.0 },
+		"service that ends": func(m map[string]any) { m["shape"] = "service" },
 		"no types":          func(m map[string]any) { m["breeds"] = []string{} },
 		"zero deadline":     func(m map[string]any) { m["dueS"] = 0.0 },
 		"endless name":      func(m map[string]any) { m["pattern"] = strings.Repeat("x", 5000) },
