--- /dev/null
+++ b/internal/controller/troubles_test.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ambersill/internal/standin"
+	"ambersill/internal/wire"
+)
+
+// troubles strikes with random troubles until the time is over.
+func (d *day) troubles(seed uint64, over time.Duration) {
+	rnd := rand.New(rand.NewPCG(seed, 4))
+	end := time.Now().Add(over)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(5+rnd.IntN(15)) * time.Second)
+		ws := d.cloud.Workers()
+		switch k := rnd.IntN(11); {
+		case k == 0: // a crash, and a restart that may be quick
+			i := rnd.IntN(3)
+			d.crash(i)
+			time.Sleep(time.Duration(200+rnd.IntN(4000)) * time.Millisecond)
+			d.start(i)
+		case k == 8: // back within a fraction of a second, twice in a row, others too
+			for range 2 {
+				for i := range 1 + rnd.IntN(3) {
+					d.crash(i)
+					time.Sleep(time.Duration(20+rnd.IntN(300)) * time.Millisecond)
+					d.start(i)
+				}
+				time.Sleep(time.Duration(20+rnd.IntN(1500)) * time.Millisecond)
+			}
+		case k == 9 && len(ws) > 0: // a machine is heard, but does not hear
+			w := ws[rnd.IntN(len(ws))]
+			w.Deafen(true)
+			time.AfterFunc(time.Duration(5+rnd.IntN(60))*time.Second, func() { w.Deafen(false) })
+		case k == 10: // a controller has its workers only
+			i := rnd.IntN(3)
+			d.alone(i, true, rnd)
+			time.Sleep(time.Duration(4+rnd.IntN(50)) * time.Second)
+			d.alone(i, false, rnd)
+		case k == 1: // all crash
+			for i := range 3 {
+				d.crash(i)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range 3 {
+				d.start(i)
+			}
+		case k == 2: // an outage
+			d.state.SetDown(true)
+			time.Sleep(time.Duration(3+rnd.IntN(20)) * time.Second)
+			d.state.SetDown(false)
+		case k == 3 && len(ws) > 0: // a machine hangs
+			ws[rnd.IntN(len(ws))].Hang(time.Duration(2+rnd.IntN(30)) * time.Second)
+		case k == 4 && len(ws) > 0: // a spot machine is taken
+			for _, w := range ws {
+				if w.M.Spot {
+					d.cloud.Take(w.M.ID)
+					break
+				}
+			}
+		case k == 5 && len(ws) > 0: // a notice
+			for _, w := range ws {
+				if w.M.Spot {
+					w.Warn(8 * time.Second)
+					time.AfterFunc(8*time.Second, func() { d.cloud.Take(w.M.ID) })
+					break
+				}
+			}
+		case k == 6: // a controller loses the state service
+			n := d.nodes[rnd.IntN(3)].Name
+			d.fabric.Cut(n, "state", true)
+			time.Sleep(time.Duration(4+rnd.IntN(40)) * time.Second)
+			d.fabric.Cut(n, "state", false)
+		case k == 7: // a controller loses the workers
+			n := d.nodes[rnd.IntN(3)].Name
+			d.cutWorkers(n, true)
+			time.Sleep(time.Duration(4+rnd.IntN(20)) * time.Second)
+			d.cutWorkers(n, false)
+		}
+	}
+}
+
+// alone cuts a controller off from the state service and the other controllers, but
+// not from its workers, or joins it again.
+func (d *day) alone(i int, cut bool, rnd *rand.Rand) {
+	hosts := []string{"state"}
+	for k, n := range d.nodes {
+		if k != i {
+			hosts = append(hosts, n.Name)
+		}
+	}
+	rnd.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
+	for _, h := range hosts {
+		d.fabric.Cut(d.nodes[i].Name, h, cut)
+	}
+}
+
+// cutWorkers cuts a controller off from all workers, or joins it again.
+func (d *day) cutWorkers(node string, cut bool) {
+	for zone := range d.world.ZoneNets {
+		d.fabric.Cut(node, "workers-"+zone, cut)
+	}
+}
+
+// loseSome lets some commits, rentals and returns go unanswered or late.
+func (d *day) loseSome() {
+	rnd := rand.New(rand.NewPCG(d.rnd.Uint64(), 3))
+	var mu sync.Mutex
+	pick := func(share float64) (standin.Fault, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if d.calm.Load() || rnd.Float64() > share {
+			return standin.NoFault, 0
+		}
+		return []standin.Fault{standin.LostReply, standin.Late, standin.Refuse}[rnd.IntN(3)], time.Duration(rnd.IntN(60)) * time.Second
+	}
+	d.state.Faults = func(string, *wire.Txn) (standin.Fault, time.Duration) { return pick(0.03) }
+	d.cloud.Faults = func() (standin.Fault, time.Duration) { return pick(0.2) }
+	d.world.Copies = func(_ *wire.Report, send func(standin.Node)) {
+		mu.Lock()
+		defer mu.Unlock()
+		late, to := time.Duration(500+rnd.IntN(40000))*time.Millisecond, d.nodes[rnd.IntN(len(d.nodes))]
+		if !d.calm.Load() && rnd.IntN(10) == 0 {
+			time.AfterFunc(late, func() { send(to) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"ambersill/internal/tuning"
+
+	"pgregory.net/rapid"
+)
+
+// Sizing against the two terms written down plainly, for like tasks of one type.
+func TestSizingAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tune := tuning.Default()
+		tune.InFlightTarget = rapid.SampledFrom([]float64{0.8, 1}).Draw(t, "target")
+		have := rapid.IntRange(0, 6).Draw(t, "machines")
+		booting := rapid.IntRange(0, have).Draw(t, "booting")
+		booked := rapid.Float64Range(0, float64(have-booting)).Draw(t, "booked")
+		per := rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "tasks in a machine")
+		waiting := rapid.IntRange(0, 20).Draw(t, "waiting")
+		in := FleetInput{Types: testTypes[1:], Summaries: map[int]Summary{}}
+		s := Summary{Booked: map[string]float64{"gpu": booked}, Firm: map[string]float64{"gpu": booked}}
+		for i := range have {
+			in.Machines = append(in.Machines, FleetMachine{ID: fmt.Sprint(i), Kind: Kind{"gpu", "a", false}, Up: i >= booting})
+		}
+		if waiting > 0 {
+			s.Waiting = []Demand{{GPUs: 4 / float64(per), CPUs: 1, RAM: 1, Tasks: waiting, Seconds: 1000}}
+		}
+		in.Summaries[0] = s
+		p := NewFleet(&tune).Plan(in, time.Unix(0, 0))
+		want := int(math.Ceil(booked/tune.InFlightTarget - 1e-6))
+		if short := (waiting+per-1)/per - booting; short > 0 {
+			want = max(want, have+short)
+		}
+		if p.Target["gpu"] != want {
+			t.Fatalf("target %d, want %d", p.Target["gpu"], want)
+		}
+		rented := 0
+		for _, r := range p.Rentals {
+			rented += r.Count
+		}
+		if rented != max(0, want-have) {
+			t.Fatalf("%d rented with %d there for a target of %d", rented, have, want)
+		}
+	})
+}
+
+// A gang that must be spread waited for ever when one machine held all of it.
+func TestSizingSpreadsOverZones(t *testing.T) {
+	tune := tuning.Default()
+	in := FleetInput{Types: testTypes, Machines: []FleetMachine{{ID: "m-1", Kind: Kind{"cpu", "a", false}, Empty: true, Up: true}},
+		Summaries: map[int]Summary{0: {Waiting: []Demand{{CPUs: 1, RAM: 1, Tasks: 4, Gang: true, ZoneMax: 2, Seconds: 60}}}}}
+	p := NewFleet(&tune).Plan(in, time.Unix(0, 0))
+	if len(p.Rentals) != 1 || p.Rentals[0].Kind.Zone != "b" {
+		t.Fatalf("rentals %+v", p.Rentals)
+	}
+}
+
+// Empty machines go back only after the lower target has held.
+func TestGiveBackWaitsOutTheHold(t *testing.T) {
+	tune := tuning.Default()
+	f := NewFleet(&tune)
+	in := FleetInput{Types: testTypes, Summaries: map[int]Summary{0: {}},
+		Machines: []FleetMachine{{ID: "m-1", Kind: Kind{"cpu", "a", false}, Empty: true, Up: true}}}
+	now := time.Unix(0, 0)
+	if p := f.Plan(in, now); len(p.Returns) != 0 {
+		t.Fatal("given back at once")
+	}
+	if p := f.Plan(in, now.Add(tuning.Seconds(tune.GiveBackS-1))); len(p.Returns) != 0 {
+		t.Fatal("given back before the hold")
+	}
+	if p := f.Plan(in, now.Add(tuning.Seconds(tune.GiveBackS))); len(p.Returns) != 1 {
+		t.Fatal("not given back")
+	}
+}
+
+// A machine that the cloud lists as up, but that was never heard since the part's owner
+// changed, is told apart from one that boots.
+func TestUnheardMachineIsNoted(t *testing.T) {
+	b := newBed()
+	b.SetMachine("m-1", MachineRecord{Type: "cpu", Zone: "a"}, 100, b.now)
+	b.machine("m-2", "cpu", "a", false)
+	if n := b.Summary(b.now.Add(10 * time.Second)).Machines["m-1"]; n&NoteUnheard != 0 {
+		t.Error("noted as unheard before it could be back")
+	}
+	s := b.Summary(b.now.Add(time.Minute))
+	if s.Machines["m-1"]&NoteUnheard == 0 || s.Machines["m-2"]&NoteUnheard != 0 {
+		t.Errorf("notes %v", s.Machines)
+	}
+}
