--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,6 +153,14 @@
 // As long as one node is old or has not been heard of, the level stays.
 func TestLevelWaitsForAllNodes(t *testing.T) {
 	upgradeDay(t, 3, 4, func(d *day) {
+		var refuse atomic.Int32 // how often what the last node says of itself is refused
+		d.state.Faults = func(_ string, txn *wire.Txn) (standin.Fault, time.Duration) {
+			if len(txn.Then) > 0 && txn.Then[0].Put == nodePrefix+d.nodes[2].Name && refuse.Load() > 0 {
+				refuse.Add(-1)
+				return standin.Refuse, 0
+			}
+			return standin.NoFault, 0
+		}
 		delete(d.old, 0)
 		delete(d.old, 1)
 		d.start(0)
@@ -168,18 +177,11 @@
 		}
 		d.crash(2)
 		delete(d.old, 2)
-		refused := 0
-		d.state.Faults = func(_ string, txn *wire.Txn) (standin.Fault, time.Duration) {
-			if len(txn.Then) > 0 && txn.Then[0].Put == nodePrefix+d.nodes[2].Name && refused < 3 {
-				refused++ // what a node says of itself is written until it is taken
-				return standin.Refuse, 0
-			}
-			return standin.NoFault, 0
-		}
+		refuse.Store(3)
 		d.start(2)
 		time.Sleep(10 * time.Second)
-		if refused < 3 {
-			d.t.Errorf("refused %d times", refused)
+		if left := refuse.Load(); left > 0 {
+			d.t.Errorf("to be refused %d times more", left)
 		}
 		if !d.raised.Load() {
 			d.t.Error("not raised with all nodes new")
@@ -197,11 +199,11 @@
 	}{
 		{"a replica ends by itself", func(d *day) {
 			ended := false
-			d.world.ReplicaEnds = func(_ *wire.Job, task int) (time.Duration, bool) {
+			d.world.EndReplicas(func(_ *wire.Job, task int) (time.Duration, bool) {
 				first := task == 1 && !ended
 				ended = ended || first
 				return 45 * time.Second, first
-			}
+			})
 		}},
 		{"its machine ends", func(d *day) { d.later(45*time.Second, func() { d.cloud.Take(d.cloud.Workers()[0].M.ID) }) }},
 		{"its machine hangs, and goes on with it", func(d *day) {
@@ -263,7 +265,7 @@
 // A replica that ends again and again soon after its start is not started at once for ever.
 func TestReplicaThatEndsAtOnceBacksOff(t *testing.T) {
 	play(t, 6, 1, false, func(d *day) {
-		d.world.ReplicaEnds = func(_ *wire.Job, task int) (time.Duration, bool) { return time.Second, task == 0 }
+		d.world.EndReplicas(func(_ *wire.Job, task int) (time.Duration, bool) { return time.Second, task == 0 })
 		d.submit(service(1, 2, 2), 5*time.Minute)
 		time.Sleep(4 * time.Minute)
 		if n := d.world.Starts(); n < 6 || n > 14 {
@@ -310,19 +312,21 @@
 			m := meeting{seed: uint64(300 + seed), looks: seed%2 == 1, script: script,
 				setup: func(d *day) {
 					d.asOld()
-					d.world.ReplicaEnds = func(*wire.Job, int) (time.Duration, bool) {
-						return time.Duration(5+rnd.IntN(100)) * second, rnd.IntN(4) == 0
-					}
+					ends := rand.New(rand.NewPCG(uint64(seed), 10)) // used under the world's lock
+					d.world.EndReplicas(func(*wire.Job, int) (time.Duration, bool) {
+						return time.Duration(5+ends.IntN(100)) * second, ends.IntN(4) == 0
+					})
 				},
 				jobs: func(d *day) {
+					waits := []time.Duration{time.Duration(rnd.IntN(60)) * second, time.Duration(10+rnd.IntN(20)) * second}
 					go func() {
 						time.Sleep(20 * second)
 						d.rollOut(10 * second)
-						time.Sleep(time.Duration(rnd.IntN(60)) * second)
+						time.Sleep(waits[0])
 						for !d.raised.Load() && d.ctx.Err() == nil {
 							time.Sleep(second)
 						}
-						time.Sleep(time.Duration(10+rnd.IntN(20)) * second)
+						time.Sleep(waits[1])
 						d.lower()
 					}()
 					for n := range 4 {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -31,15 +31,14 @@
 	Cancelled time.Duration // cancel_s
 	// RunTime of a task; nil: its estimate.
 	RunTime func(j *wire.Job, task int) time.Duration
-	// ReplicaEnds, if set, tells whether a replica of a service ends by itself, and how
-	// long after its start.
-	ReplicaEnds func(j *wire.Job, task int) (time.Duration, bool)
 	// Copies, if set, is shown each report, and may send copies of it to nodes later.
 	Copies func(r *wire.Report, send func(to Node))
 	// Ended, if set, is told when the last task of a job completes.
 	Ended func(job string)
 
-	mu     sync.Mutex
+	mu          sync.Mutex
+	replicaEnds func(j *wire.Job, task int) (time.Duration, bool)
+
 	jobs   map[string]*wire.Job
 	on     map[string]map[*Worker]*task // tasks on machines, by name
 	done   map[string]bool
@@ -142,6 +141,14 @@
 	return w.again
 }
 
+// EndReplicas sets what tells whether a replica of a service ends by itself, and how long
+// after its start. It is called with the world's lock held.
+func (w *World) EndReplicas(f func(j *wire.Job, task int) (after time.Duration, ends bool)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replicaEnds = f
+}
+
 // Replicas counts the tasks of a job that run.
 func (w *World) Replicas(id string) int {
 	w.mu.Lock()
@@ -452,8 +459,9 @@
 		w.gather(k, t)
 	case j.Shape == wire.Service:
 		t.state = wire.RunningTask
-		if w.ReplicaEnds != nil {
-			if d, ends := w.ReplicaEnds(j, t.index); ends {
+		t.timer = nil // the fetch's, which must not fire again when the machine goes on
+		if w.replicaEnds != nil {
+			if d, ends := w.replicaEnds(j, t.index); ends {
 				k.after(t, d, func() { k.exit(t, wire.CauseDone, false) })
 			}
 		}
