--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -58,6 +58,9 @@
 	case errors.Is(err, store.ErrInvalid):
 		// Not carried out, and never will be as it is: the next one has to be smaller.
 		slog.Error("commit over the state service's limits", "part", o.index, "changes", len(b.Txn.Then), "err", err)
+		if err := o.controller.rereadLevel(o.ctx); err != nil {
+			slog.Debug("feature level not read", "err", err)
+		}
 		o.mu.Lock()
 		o.partition.LowerLimits()
 		o.mu.Unlock()
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 
 	"ambersill/internal/core"
+	"ambersill/internal/store"
 	"ambersill/internal/wire"
 )
 
@@ -28,9 +30,10 @@
 // back with an older program meanwhile makes it fail.
 func (l *leader) raiseLevel(ctx context.Context) {
 	conds, ready := l.controller.cluster.readyFor(core.CurrentLevel, l.controller.memberNames())
-	if !ready || len(conds) > l.maxConditions() {
+	if !ready {
 		return
 	}
+	conds = conds[:min(len(conds), l.maxConditions())]
 	put := wire.Write{Put: levelKey, Value: core.LevelRecord{Level: core.CurrentLevel}}
 	rev, err := l.commit(ctx, conds, []wire.Write{put})
 	if err != nil {
@@ -40,7 +43,22 @@
 	l.controller.cluster.apply(levelKey, must(wire.Marshal(put.Value)), rev, false)
 }
 
-// maxConditions is how many conditions a transaction may have beside the leader's fence.
+// rereadLevel reads the feature level: a copy that is behind must not keep a partition in
+// formats that are too large by now.
+func (c *Controller) rereadLevel(ctx context.Context) error {
+	it, err := c.store.Get(ctx, levelKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.cluster.apply(levelKey, it.Value, it.Revision, false)
+	return nil
+}
+
+// maxConditions is how many conditions a transaction may have beside the leader's fence. A
+// cluster of more nodes goes by what the copy shows of the rest.
 func (l *leader) maxConditions() int { return conditionsPerChange*l.controller.limits.TxnOps - 1 }
 
 // conditionsPerChange is how many conditions the state service allows for each change that
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -20,6 +20,9 @@
 // load reads the partition. It runs after the claim, whose revision fences the last
 // owner: nothing of it can be committed any more, so what is read here is whole.
 func (o *ownedPartition) load() (uint64, error) {
+	if err := o.controller.rereadLevel(o.ctx); err != nil {
+		return 0, err
+	}
 	records, err := o.listRecords()
 	if err != nil {
 		return 0, err
@@ -107,6 +110,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.partition, o.knownUntil = p, knownUntil
+	o.partition.SetLevel(o.controller.cluster.featureLevel()) // also if it was raised meanwhile
 	for _, id := range sortedIDs(o.early) {
 		o.apply(id, o.early[id].e, o.early[id].gone)
 	}
--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -346,3 +346,61 @@
 		})
 	}
 }
+
+// A new owner whose copy of the cluster's keys is behind knows the feature level all the
+// same, and so does one that is told while it reads: it would else write records of the
+// first format, which may be too large by then.
+func TestNewOwnerKnowsTheLevel(t *testing.T) {
+	for _, meanwhile := range []bool{false, true} {
+		t.Run(fmt.Sprintf("raised meanwhile %v", meanwhile), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				d := newDay(t, ctx, 1)
+				c := New(d.settings(0), d.tune, d.fabric.Host("node-0")) // without its watch
+				c.types = dayTypes
+				level := wire.Write{Put: levelKey, Value: core.LevelRecord{Level: core.CurrentLevel}}
+				if !meanwhile {
+					if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Write{level}}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				hold, err := c.store.GrantLease(ctx, 4*time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.setLease(hold, time.Now())
+				c.claim(ctx, 0, 0, true)
+				if meanwhile {
+					c.cluster.apply(levelKey, must(wire.Marshal(level.Value)), 50, false)
+				}
+				time.Sleep(3 * time.Second)
+				o := c.ownedPartition(0)
+				o.mu.Lock()
+				if got := o.partition.Level(); got != core.CurrentLevel {
+					t.Errorf("level %d", got)
+				}
+				o.mu.Unlock()
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// All nodes count for the level, however many there are: each is a condition, and one that
+// is away stops it.
+func TestLevelOfManyNodes(t *testing.T) {
+	c := newCluster()
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprint("n", i))
+		record := core.NodeRecord{Node: names[i], Level: core.CurrentLevel}
+		c.apply(nodePrefix+names[i], must(wire.Marshal(record)), uint64(i+1), false)
+	}
+	if conds, ready := c.readyFor(core.CurrentLevel, names); !ready || len(conds) != len(names) {
+		t.Errorf("ready %v, %d conditions", ready, len(conds))
+	}
+	if _, ready := c.readyFor(core.CurrentLevel, append(names, "away")); ready {
+		t.Error("ready without a node that is away")
+	}
+}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -27,5 +27,8 @@
 	Level FeatureLevel `cbor:"level"`
 }
 
+// Level is the cluster's feature level as far as the partition was told.
+func (p *Partition) Level() FeatureLevel { return p.level }
+
 // SetLevel tells the cluster's feature level.
 func (p *Partition) SetLevel(level FeatureLevel) { p.level = max(p.level, level) }
