Trace the emulated tasks, and log the evidence on which a job is recorded as done

The failure not_done of TestRandomFaultPairs/3 could not be explained from what a failing run printed. A simulation that breaks a rule now logs each event of the tasks of the jobs concerned: virtual time, task, attempt, machine, change and cause. A partition's owner logs at level debug which worker's report, or which restored record, completed a job.

--- a/internal/controller/cycle.go
+++ b/internal/controller/cycle.go
@@ -108,7 +108,9 @@
 	case commitApplied:
 		o.mu.Lock()
 		o.partition.ConfirmBatch(batch, revision)
+		completion := batch.Completion()
 		o.mu.Unlock()
+		o.logCompletion(completion)
 	case commitRefused:
 		transport.Pause(ctx, commitRetryDelay)
 	case commitInvalid:
@@ -123,6 +125,17 @@
 	return outcome
 }
 
+// logCompletion logs the evidence on which a job was recorded as done, if any was.
+func (o *ownedPartition) logCompletion(completion *scheduler.Completion) {
+	if completion == nil {
+		return
+	}
+	slog.Debug("job recorded as done",
+		"partition", o.index, "job", completion.Job, "restored", completion.Restored,
+		"task", completion.Task, "attempt", completion.Attempt, "machine", completion.Machine,
+		"incarnation", completion.Incarnation, "sequence", completion.Sequence)
+}
+
 // reduceLimits makes the next batches smaller. It reads the feature level first, because this
 // node may be using the larger formats of an outdated level.
 func (o *ownedPartition) reduceLimits(ctx context.Context) {
--- a/internal/controller/simulated_checks_test.go
+++ b/internal/controller/simulated_checks_test.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"regexp"
 	"strings"
 	"time"
 
@@ -10,6 +11,9 @@
 	"ambersill/internal/wire"
 )
 
+// jobIDPattern matches the ID of a job in the text of a violation.
+var jobIDPattern = regexp.MustCompile(`req-\d+`)
+
 // checkStoreChange checks a write to the key-value store. It is called with the store's lock
 // held.
 func (cluster *simulatedCluster) checkStoreChange(key string, before, after wire.Raw) {
@@ -36,9 +40,11 @@
 // checks that no rule was broken, that a task was started and that each job has a final phase.
 func (cluster *simulatedCluster) waitForJobsAndCheck(timeout time.Duration) {
 	cluster.waitForUsers(timeout)
-	for _, violation := range cluster.simulation.Violations() {
+	violations := cluster.simulation.Violations()
+	for _, violation := range violations {
 		cluster.t.Errorf("broken rule: %s", violation)
 	}
+	cluster.logTaskTraces(violations)
 	if cluster.simulation.StartCount() == 0 {
 		cluster.t.Error("number of task starts: got 0, want at least 1")
 	}
@@ -51,6 +57,19 @@
 	}
 }
 
+// logTaskTraces logs what happened to the tasks of each job that a violation names.
+func (cluster *simulatedCluster) logTaskTraces(violations []string) {
+	logged := map[string]bool{}
+	for _, violation := range violations {
+		job := jobIDPattern.FindString(violation)
+		if job == "" || logged[job] {
+			continue
+		}
+		logged[job] = true
+		cluster.t.Logf("events of the tasks of job %s:\n%s", job, strings.Join(cluster.simulation.TaskTrace(job), "\n"))
+	}
+}
+
 func (cluster *simulatedCluster) waitForUsers(timeout time.Duration) {
 	ended := make(chan struct{})
 	go func() {
--- a/internal/emulator/checker_test.go
+++ b/internal/emulator/checker_test.go
@@ -136,7 +136,7 @@
 			time.Sleep(45 * time.Second)
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.west.dropTasks()
+			s.west.dropTasks("lease expired")
 		}, "left its machine"},
 		{"an accepted job that is later reported as unknown", ruleForgotten, func(s *checkerSetup) {
 			job := s.submitAndAccept(nil)
--- a/internal/emulator/lifecycle.go
+++ b/internal/emulator/lifecycle.go
@@ -32,21 +32,21 @@
 		s.tasksOnMachines[t.name] = map[*Worker]*task{}
 	}
 	s.tasksOnMachines[t.name][worker] = t
-	t.state = wire.TaskWaitingForGang
+	worker.setState(t, wire.TaskWaitingForGang)
 	s.checkQuota(t.job.Team)
 	switch {
 	case s.completedTasks[t.name]:
 		// An earlier attempt has completed the task, and its result is kept.
 		worker.exit(t, wire.ExitDone, false)
 	case worker.failsTasks:
-		t.state = wire.TaskRunning
+		worker.setState(t, wire.TaskRunning)
 		worker.runAfter(t, failureDelay, func() { worker.exit(t, wire.ExitError, false) })
 	case t.job.IsGang():
 		s.joinGang(worker, t)
 	case t.job.IsService():
 		s.runReplica(worker, t)
 	default:
-		t.state = wire.TaskRunning
+		worker.setState(t, wire.TaskRunning)
 		worker.runAfter(t, s.runTime(t.job, t.index), func() {
 			s.completeTask(t)
 			worker.exit(t, wire.ExitDone, false)
@@ -73,7 +73,7 @@
 
 // runReplica runs a replica of a service until it is stopped or exits by itself.
 func (s *Simulation) runReplica(worker *Worker, t *task) {
-	t.state = wire.TaskRunning
+	worker.setState(t, wire.TaskRunning)
 	// The timer of the image fetch must not fire again when a hang of the machine ends.
 	t.timer = nil
 	if s.replicaExit == nil {
@@ -124,7 +124,7 @@
 		}
 	}
 	for member, memberWorker := range members {
-		member.state = wire.TaskRunning
+		memberWorker.setState(member, wire.TaskRunning)
 		memberWorker.runAfter(member, s.runTime(t.job, 0), func() { s.completeGang(member) })
 	}
 }
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -56,6 +56,7 @@
 	tasksOnMachines map[string]map[*Worker]*task // tasks on machines, by task name
 	startedAttempts map[taskAttempt]bool         // attempts that have started at least once
 	completedTasks  map[string]bool              // tasks that have completed, by task name
+	taskEvents      []taskEvent                  // in the order in which they happened
 
 	violations             []string
 	startCount             int
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -70,7 +70,7 @@
 	defer w.simulation.mu.Unlock()
 	w.dead = true
 	w.cancel()
-	w.dropTasks()
+	w.dropTasks("machine lost")
 }
 
 // Hang suspends the machine for d. Afterwards it continues from the same state. Hang does nothing
@@ -172,7 +172,7 @@
 		return
 	}
 	w.simulation.removalTime = w.leaseStart.Add(w.simulation.LeaseDuration)
-	w.dropTasks()
+	w.dropTasks("lease expired")
 	w.simulation.removalTime = time.Time{}
 	w.incarnation++
 	w.leaseStart = time.Now()
--- a/internal/emulator/worker_commands.go
+++ b/internal/emulator/worker_commands.go
@@ -160,6 +160,7 @@
 		state:   wire.TaskFetching,
 	}
 	w.tasks[c.Task] = t
+	w.traceTask(t, "%s", t.state)
 	w.runAfter(t, w.imageFetchTime(job), func() {
 		w.fetchedImages[job.Image] = true
 		w.simulation.startTask(w, t)
--- a/internal/emulator/worker_tasks.go
+++ b/internal/emulator/worker_tasks.go
@@ -33,13 +33,14 @@
 // goroutine, because the caller holds the simulation's lock.
 const minTimerDelay = time.Millisecond
 
-// dropTasks removes all tasks and refused starts, without reporting them. The simulation's lock
+// dropTasks removes all tasks and refused starts for the given reason, without reporting them. The simulation's lock
 // must be held.
-func (w *Worker) dropTasks() {
+func (w *Worker) dropTasks(reason string) {
 	for _, t := range w.tasks {
 		if t.timer != nil {
 			t.timer.Stop()
 		}
+		w.traceTask(t, "removed: %s", reason)
 		w.simulation.removeTask(w, t)
 	}
 	w.tasks = map[string]*task{}
@@ -93,7 +94,8 @@
 		t.timer.Stop()
 	}
 	w.simulation.removeTask(w, t)
-	t.state, t.cause, t.saved = wire.TaskExited, exitCause, saved
+	t.cause, t.saved = exitCause, saved
+	w.setState(t, wire.TaskExited)
 	w.requestEarlyHeartbeat()
 }
 
@@ -101,8 +103,9 @@
 // already saving a checkpoint, a stop with a grace period lets it finish; a grace period of 0 ends
 // it at once.
 func (w *Worker) stop(t *task, gracePeriodS float64) {
+	w.traceTask(t, "stop with a grace period of %v s", gracePeriodS)
 	if t.savesCheckpoint(gracePeriodS) {
-		t.state = wire.TaskSaving
+		w.setState(t, wire.TaskSaving)
 		saveTime := time.Duration(t.job.CheckpointSaveS * float64(time.Second))
 		w.runAfter(t, saveTime, func() { w.exit(t, wire.ExitStopped, true) })
 		return
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -33,8 +33,9 @@
 	waitingTasks    int // number of tasks in state taskWaiting
 	doneTasks       int // number of tasks in state taskDone
 	highestAttempt  uint64
-	observedRunning bool // a task was reported as running since this node became the owner
-	finalized       bool // the job's end is committed; some of its records may still exist
+	observedRunning bool        // a task was reported as running since this node became the owner
+	finalized       bool        // the job's end is committed; some of its records may still exist
+	completion      *Completion // nil until a worker's report completes the job
 
 	// gangBroken is set if the gang has lost a task. The next attempt may start only once
 	// no placement of the gang is left.
--- a/internal/scheduler/task_exit.go
+++ b/internal/scheduler/task_exit.go
@@ -52,6 +52,7 @@
 	} else {
 		p.markTaskDone(job, placement.task)
 	}
+	job.recordCompletion(placement)
 	p.detach(placement)
 }
 
