Emulator: a gang completes as a whole, and not once a task is told to stop

Cause, from both traces: the preemption's stop reached two members at 02:17.024; at 02:17.056, the end of the run time, the timer of the third one completed it alone. PROTOCOL, "Gangs": "Progress stops with the first kill", "when one task is done, all of them are".

A gang's run is now one object with one timer. The first stop, a lost member and a hang suspend or end its progress, and a cancelled action has no effect even if its timer has fired. Saves fail when a member is not told in time, and the next attempt continues from the saved progress. A hang of a machine no longer ends its tasks early: their timers are paused.

--- a/internal/emulator/checker_test.go
+++ b/internal/emulator/checker_test.go
@@ -35,6 +35,8 @@
 			fetchedImages:  map[string]bool{},
 			leaseStart:     time.Now(),
 			earlyHeartbeat: make(chan struct{}, 1),
+			resume:         make(chan struct{}),
+			cancel:         func() {},
 		}
 	}
 	s.west, s.west2 = machine("m-1", "small", "west", false), machine("m-2", "small", "west", false)
--- a/internal/emulator/lifecycle.go
+++ b/internal/emulator/lifecycle.go
@@ -74,8 +74,6 @@
 // runReplica runs a replica of a service until it is stopped or exits by itself.
 func (s *Simulation) runReplica(worker *Worker, t *task) {
 	worker.setState(t, wire.TaskRunning)
-	// The timer of the image fetch must not fire again when a hang of the machine ends.
-	t.timer = nil
 	if s.replicaExit == nil {
 		return
 	}
@@ -91,54 +89,6 @@
 	return time.Duration(job.EstimatedRunS * float64(time.Second))
 }
 
-// gangMembers returns the tasks on machines that belong to the same attempt of a gang as t, t
-// included, each with its machine.
-func (s *Simulation) gangMembers(t *task) map[*task]*Worker {
-	members := map[*task]*Worker{}
-	for i := range t.job.TaskCount {
-		for worker, other := range s.tasksOnMachines[wire.TaskName(t.job.ID, i)] {
-			if other.attempt == t.attempt {
-				members[other] = worker
-			}
-		}
-	}
-	return members
-}
-
-// joinGang makes a task wait for the other tasks of its gang, and exit if the gang has not started
-// within GangWaitTimeout. If all tasks of the gang are now on machines and waiting, it starts them
-// all, and schedules them to complete together.
-func (s *Simulation) joinGang(worker *Worker, t *task) {
-	worker.runAfter(t, s.GangWaitTimeout, func() {
-		if t.state == wire.TaskWaitingForGang {
-			worker.exit(t, wire.ExitGangIncomplete, false)
-		}
-	})
-	members := s.gangMembers(t)
-	if len(members) < t.job.TaskCount {
-		return
-	}
-	for member := range members {
-		if member.state != wire.TaskWaitingForGang {
-			return
-		}
-	}
-	for member, memberWorker := range members {
-		memberWorker.setState(member, wire.TaskRunning)
-		memberWorker.runAfter(member, s.runTime(t.job, 0), func() { s.completeGang(member) })
-	}
-}
-
-// completeGang completes all running tasks of an attempt of a gang.
-func (s *Simulation) completeGang(t *task) {
-	for member, memberWorker := range s.gangMembers(t) {
-		if member.state == wire.TaskRunning {
-			s.completeTask(member)
-			memberWorker.exit(member, wire.ExitDone, false)
-		}
-	}
-}
-
 // completeTask records that a task has completed, and calls OnJobDone if all tasks of its job
 // have.
 func (s *Simulation) completeTask(t *task) {
@@ -157,8 +107,7 @@
 	return true
 }
 
-// removeTask removes a task from its machine. If the task belongs to a gang that was running and
-// has not completed, the other members exit after GangPeerTimeout.
+// removeTask removes a task from its machine. The other tasks of a running gang notice its loss.
 func (s *Simulation) removeTask(worker *Worker, t *task) {
 	if s.tasksOnMachines[t.name][worker] != t {
 		return
@@ -168,12 +117,7 @@
 	if len(s.tasksOnMachines[t.name]) == 0 {
 		delete(s.tasksOnMachines, t.name)
 	}
-	if !t.job.IsGang() || s.completedTasks[t.name] || t.state == wire.TaskWaitingForGang {
-		return
-	}
-	for member, memberWorker := range s.gangMembers(t) {
-		if member.state == wire.TaskRunning {
-			memberWorker.runAfter(member, s.GangPeerTimeout, func() { memberWorker.exit(member, wire.ExitGangMemberLost, false) })
-		}
+	if t.gang != nil {
+		t.gang.removeMember(t)
 	}
 }
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -56,6 +56,7 @@
 	tasksOnMachines map[string]map[*Worker]*task // tasks on machines, by task name
 	startedAttempts map[taskAttempt]bool         // attempts that have started at least once
 	completedTasks  map[string]bool              // tasks that have completed, by task name
+	gangProgress    map[string]time.Duration     // saved progress of gangs, by job ID
 	taskEvents      []taskEvent                  // in the order in which they happened
 
 	violations             []string
@@ -83,6 +84,7 @@
 		tasksOnMachines:  map[string]map[*Worker]*task{},
 		startedAttempts:  map[taskAttempt]bool{},
 		completedTasks:   map[string]bool{},
+		gangProgress:     map[string]time.Duration{},
 	}
 }
 
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -82,11 +82,16 @@
 		return
 	}
 	w.hung = true
+	w.pauseTimers()
+	for _, t := range w.tasks {
+		if t.gang != nil {
+			t.gang.handleHang(w)
+		}
+	}
 	time.AfterFunc(d, w.endHang)
 }
 
-// endHang makes the machine continue. It sets the timers of all tasks to fire after minTimerDelay,
-// including those that fired without effect while the machine hung.
+// endHang makes the machine continue.
 func (w *Worker) endHang() {
 	w.simulation.mu.Lock()
 	defer w.simulation.mu.Unlock()
@@ -94,9 +99,10 @@
 	w.expireLease()
 	close(w.resume)
 	w.resume = make(chan struct{})
+	w.resumeTimers()
 	for _, t := range w.tasks {
-		if t.timer != nil {
-			t.timer.Reset(minTimerDelay)
+		if t.gang != nil {
+			t.gang.resumeProgress()
 		}
 	}
 }
--- a/internal/emulator/worker_tasks.go
+++ b/internal/emulator/worker_tasks.go
@@ -14,8 +14,9 @@
 	attempt uint64
 	state   wire.TaskState
 	cause   wire.ExitCause
-	saved   bool // a checkpoint was saved before it exited
-	timer   *time.Timer
+	saved   bool       // a checkpoint was saved before it exited
+	timer   *taskTimer // nil if nothing is due
+	gang    *gangRun   // nil for tasks that belong to no gang or whose gang has not started
 }
 
 // status returns the entry for the task in a heartbeat.
@@ -37,9 +38,7 @@
 // must be held.
 func (w *Worker) dropTasks(reason string) {
 	for _, t := range w.tasks {
-		if t.timer != nil {
-			t.timer.Stop()
-		}
+		t.cancelTimer()
 		w.traceTask(t, "removed: %s", reason)
 		w.simulation.removeTask(w, t)
 	}
@@ -69,30 +68,10 @@
 	return time.Duration(job.ImageGB / w.machineType.ImageFetchGBPerS * float64(time.Second))
 }
 
-// runAfter calls f after d with the simulation's lock held, unless the task has exited or been
-// removed by then. It replaces the task's earlier timer. A timer that fires while the machine hangs
-// has no effect then; endHang resets it.
-func (w *Worker) runAfter(t *task, d time.Duration, f func()) {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-	t.timer = time.AfterFunc(d, func() {
-		w.simulation.mu.Lock()
-		defer w.simulation.mu.Unlock()
-		if w.dead || w.hung || w.tasks[t.name] != t || t.state == wire.TaskExited {
-			return
-		}
-		f()
-		w.requestEarlyHeartbeat()
-	})
-}
-
 // exit makes a task exit with a cause, which heartbeats report until the task is forgotten. The
 // simulation's lock must be held.
 func (w *Worker) exit(t *task, exitCause wire.ExitCause, saved bool) {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
+	t.cancelTimer()
 	w.simulation.removeTask(w, t)
 	t.cause, t.saved = exitCause, saved
 	w.setState(t, wire.TaskExited)
@@ -104,16 +83,22 @@
 // it at once.
 func (w *Worker) stop(t *task, gracePeriodS float64) {
 	w.traceTask(t, "stop with a grace period of %v s", gracePeriodS)
-	if t.savesCheckpoint(gracePeriodS) {
-		w.setState(t, wire.TaskSaving)
-		saveTime := time.Duration(t.job.CheckpointSaveS * float64(time.Second))
-		w.runAfter(t, saveTime, func() { w.exit(t, wire.ExitStopped, true) })
-		return
-	}
-	if t.state == wire.TaskSaving && gracePeriodS > 0 {
+	switch {
+	case t.state == wire.TaskSaving && gracePeriodS > 0:
 		return
+	case !t.savesCheckpoint(gracePeriodS):
+		w.exit(t, wire.ExitStopped, false)
+	case t.gang != nil:
+		t.gang.stopMember(w, t)
+	default:
+		w.setState(t, wire.TaskSaving)
+		w.runAfter(t, t.checkpointSaveTime(), func() { w.exit(t, wire.ExitStopped, true) })
 	}
-	w.exit(t, wire.ExitStopped, false)
+}
+
+// checkpointSaveTime returns how long the task takes to save a checkpoint.
+func (t *task) checkpointSaveTime() time.Duration {
+	return time.Duration(t.job.CheckpointSaveS * float64(time.Second))
 }
 
 // savesCheckpoint reports whether a task that is stopped saves a checkpoint first. It does if it is
