--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -144,6 +144,13 @@
 	return w.lateCommandRequests
 }
 
+// HasTask reports whether the worker reports the named task, in any state.
+func (w *Worker) HasTask(name string) bool {
+	w.simulation.mu.Lock()
+	defer w.simulation.mu.Unlock()
+	return w.tasks[name] != nil
+}
+
 // Incarnation returns the worker's current incarnation.
 func (w *Worker) Incarnation() uint64 {
 	w.simulation.mu.Lock()
