--- a/internal/scheduler/chunk_test.go
+++ b/internal/scheduler/chunk_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"ambersill/internal/records"
+	"ambersill/internal/tuning"
 )
 
 // A change to a task that is made while a batch with an earlier change to the same task is being
@@ -71,3 +73,66 @@
 	}
 	return keys
 }
+
+// splitWithoutRecord adds a job of 20 tasks whose only chunk is split before task 10, and returns
+// both chunks. The new chunk waits for its turn to get a record, as hundreds do after the value size
+// is lowered.
+func splitWithoutRecord(harness *partitionHarness) (origin, splitOffChunk *chunk) {
+	job := harness.addJob(newArrayJob("req-1", 20, 1))
+	origin = job.chunks[0]
+	splitOffChunks := origin.splitAt([]int{10})
+	harness.journal.trackSplitOffChunks(origin, splitOffChunks)
+	harness.conversion.lastRewrite = harness.now.Add(time.Hour)
+	return origin, splitOffChunks[0]
+}
+
+// commitChange commits a change of a task, and reports whether the next batches contain it.
+func commitChange(harness *partitionHarness, chunk *chunk, task int) bool {
+	const maxBatches = 10
+	harness.journal.markDirty(chunk, task)
+	for range maxBatches {
+		batch := harness.PrepareBatch()
+		harness.revision++
+		harness.ConfirmBatch(batch, harness.revision)
+		if !chunk.isDirty() {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a journal that stops for ever: a chunk was due for compaction, but could not be
+// written before one that was split off from it, which was not due and so was not written either.
+func TestSplitOffChunkThatIsNotDueDoesNotBlockJournal(t *testing.T) {
+	harness := newPartitionHarness()
+	harness.RaiseLevel(records.FeatureExplicitChunks)
+	origin, splitOffChunk := splitWithoutRecord(harness)
+	other := harness.addJob(newArrayJob("req-2", 1, 1)).chunks[0]
+	commitChange(harness, origin, 0)
+	for n := range 3 * tuning.JournalSlots {
+		if n == tuning.JournalSlots/2 {
+			commitChange(harness, splitOffChunk, 10)
+		}
+		if !commitChange(harness, other, 0) {
+			t.Fatalf("change %d of an unrelated job is not committed: the journal is blocked at sequence %d, the oldest record that chunk %s needs is %d",
+				n, harness.journal.sequence, origin.name, origin.oldestUncompactedSequence)
+		}
+	}
+}
+
+// Guards against batches without journal records while a chunk that was split off and has no
+// journaled changes waits for its record: its sequence 0 counted as the oldest one in the ring.
+func TestSplitOffChunkWithoutChangesDoesNotDelayJournal(t *testing.T) {
+	harness := newPartitionHarness()
+	harness.RaiseLevel(records.FeatureExplicitChunks)
+	origin, _ := splitWithoutRecord(harness)
+	other := harness.addJob(newArrayJob("req-2", 1, 1)).chunks[0]
+	// The ring has wrapped around, and the chunk has just become due.
+	harness.journal.sequence = 2 * tuning.JournalSlots
+	commitChange(harness, origin, 0)
+	harness.journal.sequence += tuning.JournalSlots * (compactionRingDivisor - 1) / compactionRingDivisor
+	harness.journal.markDirty(other, 0)
+	if batch := harness.PrepareBatch(); len(batch.chunkWrites) == 0 || len(batch.entryWrites) == 0 {
+		t.Errorf("batch with a chunk that is due: got %d chunk records and %d journal entries, want some of both", len(batch.chunkWrites), len(batch.entryWrites))
+	}
+}
--- a/internal/scheduler/compaction.go
+++ b/internal/scheduler/compaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -58,11 +59,10 @@
 }
 
 // oldestUncompactedSequence returns the lowest sequence of a journal record with changes that are
-// missing from one of the chunks' records. It returns 0 if the first chunk has no journaled
-// changes. Such a chunk must be written before the chunk that it was split off from, and 0 blocks
-// the journal once the ring has wrapped around.
+// missing from one of the chunks' records. Chunks without journaled changes are ignored; at least
+// one of the chunks must have some.
 func oldestUncompactedSequence(due []*chunk) uint64 {
-	oldest := due[0].oldestUncompactedSequence
+	oldest := uint64(math.MaxUint64)
 	for _, chunk := range due {
 		if chunk.oldestUncompactedSequence > 0 {
 			oldest = min(oldest, chunk.oldestUncompactedSequence)
@@ -96,12 +96,13 @@
 	return due
 }
 
-// unwrittenSplitOffChunks returns the chunks that were split off from origin and have neither a
-// record nor journaled changes. They do not become due by themselves.
+// unwrittenSplitOffChunks returns the chunks that were split off from origin, have no record, and
+// are not due by themselves. Origin cannot be written before they are.
 func (b *batchBuilder) unwrittenSplitOffChunks(origin *chunk) []*chunk {
 	var unwritten []*chunk
 	for _, splitOffChunk := range origin.splitOffChunks {
-		if !splitOffChunk.hasRecord() && !b.partition.journal.uncompactedChunks[splitOffChunk] {
+		isDue := b.partition.journal.uncompactedChunks[splitOffChunk] && b.compactionDue(splitOffChunk)
+		if !splitOffChunk.hasRecord() && !isDue {
 			unwritten = append(unwritten, splitOffChunk)
 		}
 	}
