scheduler: preempt for all tasks of a large gang

Callers would have seen: a gang of more than 16 tasks that waits for ever beside work that it may preempt.

Cause: room was made for at most 16 tasks at a time. The next search found exactly that room and preempted nothing more, while the preemption in progress kept the gang from reserving machines.

The test failed before: TestLargeGangPreemptsForAllItsTasks: placed tasks of the urgent gang after 60 s beside idle work: got 0, want 20

A gang is of no use in parts, so the limit no longer applies to it.

--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -143,3 +144,40 @@
 		t.Errorf("%d placements on the machine whose worker has not reported the exit yet, want 1", placements)
 	}
 }
+
+// Guards against a large gang that waits for ever beside work that it may preempt: room was made for
+// 16 of its tasks, and each later search found that room again and preempted nothing more.
+func TestLargeGangPreemptsForAllItsTasks(t *testing.T) {
+	const tasks = maxTasksPerPreemption + 4
+	harness := newPartitionHarness()
+	for n := range tasks {
+		harness.addMachine(fmt.Sprintf("m-%02d", n), "cpu", "a", false)
+	}
+	idle := newArrayJob("req-1", tasks, 8)
+	idle.Priority = "idle"
+	harness.addJob(idle)
+	harness.scheduleAndCommit()
+	harness.heartbeatAll()
+	gang := newArrayJob("req-2", tasks, 8)
+	gang.Shape = wire.GangJob
+	gang.Priority = "urgent"
+	job := harness.addJob(gang)
+	const rounds = 60
+	for range rounds {
+		harness.now = harness.now.Add(time.Second)
+		harness.scheduleAndCommit()
+		harness.heartbeatAll()
+	}
+	if placed := len(job.placements); placed != tasks {
+		t.Errorf("placed tasks of the urgent gang after %d s beside idle work: got %d, want %d", rounds, placed, tasks)
+	}
+}
+
+// heartbeatAll sends two heartbeats for each machine: the commands of the first are executed, and
+// the second reports their effect.
+func (h *partitionHarness) heartbeatAll() {
+	for _, machine := range h.machines.all() {
+		h.sendHeartbeat(machine.ID)
+		h.sendHeartbeat(machine.ID)
+	}
+}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -18,9 +18,10 @@
 	// first start is overdue. One is enough, since hasStarted is true once a task is placed.
 	// Gangs are exempt: all of their tasks are placed together.
 	maxOverdueTasksPerTurn = 1
-	// maxTasksPerPreemption is the maximum number of tasks for which a single preemption frees
-	// capacity. Preempted tasks stop only after their grace period, so capacity is freed for
-	// more than one turn.
+	// maxTasksPerPreemption is the maximum number of tasks of an array job or service for which
+	// a single preemption frees capacity. Preempted tasks stop only after their grace period, so
+	// capacity is freed for more than one turn. Gangs are exempt: room for a part of their tasks
+	// is of no use to them.
 	maxTasksPerPreemption = 2 * maxTasksPerTurn
 	// cachedImagesPerMachine is the number of images that a worker is assumed to cache. The
 	// machines of the cloud cache about as many.
@@ -133,7 +134,10 @@
 // progress afterwards and the job is a starved gang, it reserves machines for the job.
 func (p *Partition) preemptOrReserve(job *Job, count int, now time.Time) {
 	job.failedSearchVersion = p.capacityVersion
-	p.preempt(job, min(count, maxTasksPerPreemption), now)
+	if !job.IsGang() {
+		count = min(count, maxTasksPerPreemption)
+	}
+	p.preempt(job, count, now)
 	if !job.preemption.inProgress {
 		p.reserveForGang(job, count, now)
 	}
