autoscaler: rent no second machine for a rental that the cloud has not answered

Callers would have seen: a higher price after an outage of the cloud, since each round rented every machine once more that waiting tasks needed.

Cause: the capacity of a pending rental was taken for that of a new one.

The test failed before: TestPlanDoesNotRepeatPendingRental: round 1, no rental answered: got 6 machines rented, want 3 for 3 tasks that fill a machine each

A pending rental now counts like a booting machine. It cannot starve its tasks: its record stays, and the call is repeated under its ID, until the cloud has answered.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -94,10 +94,9 @@
 // The target of a machine type is its in-flight term, ceil(allocated capacity / InFlightTarget).
 // While tasks wait that need additional machines, the target is the larger of the in-flight
 // term and machines + queue term. The queue term is the number of additional machines that
-// the waiting tasks need once all empty and booting machines are full. Machines of pending
-// rentals that these tasks would use are counted again in the queue term; see
-// rentForWaitingTasks. Machines above the target are returned when the surplus has lasted for
-// GiveBackS. The target may be zero.
+// the waiting tasks need once all empty, booting and pending machines are full. A pending rental
+// is repeated under its ID until the cloud answers, so it needs no other one. Machines above the
+// target are returned when the surplus has lasted for GiveBackS. The target may be zero.
 func (a *Autoscaler) Plan(input Input, now time.Time) Plan {
 	builder := newPlanBuilder(a.tuning, input)
 	for _, demand := range waitingDemands(input.Summaries) {
--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -217,3 +217,33 @@
 		})
 	}
 }
+
+// Guards against a machine that is rented once more in each round for the same waiting tasks while
+// the cloud has not answered their recorded rental.
+func TestPlanDoesNotRepeatPendingRental(t *testing.T) {
+	demand := records.Demand{
+		CPUs:          8,
+		MemoryGB:      1,
+		Tasks:         3,
+		EstimatedRunS: 1000,
+	}
+	input := Input{
+		MachineTypes: testTypes,
+		Summaries:    map[int]records.PartitionSummary{0: {Waiting: []records.Demand{demand}}},
+	}
+	tunables := tuning.Default()
+	scaler := New(&tunables)
+	now := time.Unix(0, 0)
+	for round := range 10 {
+		plan := scaler.Plan(input, now)
+		now = now.Add(tuning.Seconds(tunables.RoundS))
+		for _, rental := range plan.Rentals {
+			for range rental.Count {
+				input.PendingRentals = append(input.PendingRentals, Machine{Offering: rental.Offering, Partition: rental.Partition})
+			}
+		}
+		if rented := len(input.PendingRentals); rented != demand.Tasks {
+			t.Fatalf("round %d, no rental answered: got %d machines rented, want %d for %d tasks that fill a machine each", round, rented, demand.Tasks, demand.Tasks)
+		}
+	}
+}
--- a/internal/autoscaler/binpacking.go
+++ b/internal/autoscaler/binpacking.go
@@ -16,7 +16,7 @@
 	partition  int
 	remaining  resource.Vector
 	usedByPlan bool // the plan assigns tasks to the machine or returns it
-	planned    bool // this plan rents a machine for the bin
+	rented     bool // a rental of the machine is recorded, or this plan has one
 }
 
 // placement assigns a number of a demand's tasks to one bin.
--- a/internal/autoscaler/planbuilder.go
+++ b/internal/autoscaler/planbuilder.go
@@ -68,7 +68,9 @@
 
 func (b *planBuilder) addPendingRental(machine *Machine) {
 	b.countMachine(machine.Offering)
-	b.bins = append(b.bins, b.newBin(machine.Offering, machine.Partition))
+	bin := b.newBin(machine.Offering, machine.Partition)
+	bin.rented = true
+	b.bins = append(b.bins, bin)
 }
 
 func (b *planBuilder) countMachine(offering Offering) {
@@ -105,7 +107,7 @@
 	for _, placement := range b.assign(demand).placements {
 		bin := placement.bin
 		switch {
-		case bin.machine == nil && !bin.planned:
+		case bin.machine == nil && !bin.rented:
 			b.rentForWaitingTasks(bin, demand.partition)
 		case bin.machine != nil && bin.partition != demand.partition:
 			b.reassign(bin, demand.partition)
@@ -115,11 +117,9 @@
 	}
 }
 
-// rentForWaitingTasks plans the rental of the machine of a bin for waiting tasks. placeDemand
-// also calls it when a pending rental's bin is first used, so that one more machine is rented
-// although a rental of that machine is already recorded.
+// rentForWaitingTasks plans the rental of the machine of a bin for waiting tasks.
 func (b *planBuilder) rentForWaitingTasks(bin *capacityBin, partition int) {
-	bin.planned = true
+	bin.rented = true
 	b.bins = append(b.bins, bin)
 	b.planned[bin.offering]++
 	b.fleetCountsOf(bin.offering.MachineType).planned++
