Emulator: overlapping faults of commits and heartbeats end separately

Seen: of two overlapping faults of commits, or of heartbeats, the second replaced the first, and the end of the first ended both, so simulations tested less than their scripts say. A replay of heartbeats to the next owner slept on after its context had ended.

Each active fault now has an entry of its own. Heartbeats are replayed in the order of their machines, and the map of recorded ones is no longer read while a heartbeat may be added to it.

--- a/internal/emulator/fault_heartbeats.go
+++ b/internal/emulator/fault_heartbeats.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 )
 
@@ -50,13 +53,19 @@
 			sendFuncs[heartbeat.Machine] = send
 		}
 	})
+	f.mu.Lock()
+	recorded := maps.Clone(sendFuncs) // a heartbeat that is handled just now may still be added
+	f.mu.Unlock()
 	if !f.waitForNextOwner(ctx, revision) {
 		return
 	}
-	time.Sleep(fault.Delay)
+	transport.Pause(ctx, fault.Delay)
 	for range replayCount {
-		f.replayHeartbeats(fault.Kind, sendFuncs)
-		time.Sleep(replayInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		f.replayHeartbeats(fault.Kind, recorded)
+		transport.Pause(ctx, replayInterval)
 	}
 }
 
@@ -78,10 +87,10 @@
 
 // replayHeartbeats sends the recorded heartbeats to all nodes, without waiting for the responses.
 func (f *FaultInjector) replayHeartbeats(kind FaultKind, sendFuncs map[string]func(Node)) {
-	for _, send := range sendFuncs {
+	for _, machine := range slices.Sorted(maps.Keys(sendFuncs)) {
 		for _, node := range f.Nodes {
 			f.countInjected(kind, 1)
-			f.wg.Go(func() { send(node) })
+			f.wg.Go(func() { sendFuncs[machine](node) })
 		}
 	}
 }
@@ -89,13 +98,7 @@
 // handleHeartbeatsDuringFault makes each worker call onHeartbeat before it sends a heartbeat, until
 // the fault is over.
 func (f *FaultInjector) handleHeartbeatsDuringFault(ctx context.Context, fault Fault, onHeartbeat heartbeatFunc) {
-	f.setOnHeartbeat(onHeartbeat)
+	remove := f.heartbeatFaults.add(onHeartbeat)
 	waitUntilOver(ctx, fault)
-	f.setOnHeartbeat(nil)
-}
-
-func (f *FaultInjector) setOnHeartbeat(onHeartbeat heartbeatFunc) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.onHeartbeat = onHeartbeat
+	remove()
 }
--- a/internal/emulator/fault_injector.go
+++ b/internal/emulator/fault_injector.go
@@ -39,11 +39,11 @@
 	// the number of jobs cancelled.
 	CancelJobs func(maxJobs int) int
 
-	mu             sync.Mutex
-	injectedCounts map[FaultKind]int
-	commitFault    commitFaultFunc // nil while no commit fault is active
-	onHeartbeat    heartbeatFunc   // nil while no heartbeat fault is active
-	wg             sync.WaitGroup
+	mu              sync.Mutex
+	injectedCounts  map[FaultKind]int
+	commitFaults    activeFaults[commitFaultFunc]
+	heartbeatFaults activeFaults[heartbeatFunc]
+	wg              sync.WaitGroup
 }
 
 // InjectedCount returns how often a kind of fault took effect. Depending on the kind, it counts
@@ -75,24 +75,26 @@
 // commits and heartbeats. It must be called before the controllers start.
 func (f *FaultInjector) Attach() {
 	f.Store.ChooseFault = func(from string, _ *wire.Txn) (RequestFault, time.Duration) {
-		f.mu.Lock()
-		commitFault := f.commitFault
-		f.mu.Unlock()
-		if commitFault == nil {
-			return NoFault, 0
-		}
-		return commitFault(from)
+		return f.chooseCommitFault(from)
 	}
 	f.Simulation.OnHeartbeat = func(heartbeat *wire.Heartbeat, send func(Node)) {
-		f.mu.Lock()
-		onHeartbeat := f.onHeartbeat
-		f.mu.Unlock()
-		if onHeartbeat != nil {
+		for _, onHeartbeat := range f.heartbeatFaults.functions() {
 			onHeartbeat(heartbeat, send)
 		}
 	}
 }
 
+// chooseCommitFault returns what happens to a commit: the effect of the first active fault that
+// affects it.
+func (f *FaultInjector) chooseCommitFault(from string) (RequestFault, time.Duration) {
+	for _, commitFault := range f.commitFaults.functions() {
+		if effect, delay := commitFault(from); effect != NoFault {
+			return effect, delay
+		}
+	}
+	return NoFault, 0
+}
+
 // Run injects the faults of a script, each in its own goroutine, and returns when all of them are
 // over or ctx has ended. Hangs of machines and late copies of heartbeats can outlast it.
 func (f *FaultInjector) Run(ctx context.Context, script ...Fault) {
--- a/internal/emulator/fault_store.go
+++ b/internal/emulator/fault_store.go
@@ -46,7 +46,7 @@
 // what happens to an affected commit; the duration is the delay of ExecuteLate.
 func (f *FaultInjector) injectCommitFault(ctx context.Context, fault Fault, drawFault func() (RequestFault, time.Duration)) {
 	affected := f.nodeNames(fault.Nodes)
-	f.setCommitFault(func(from string) (RequestFault, time.Duration) {
+	remove := f.commitFaults.add(func(from string) (RequestFault, time.Duration) {
 		if len(affected) > 0 && !affected[from] {
 			return NoFault, 0
 		}
@@ -57,11 +57,5 @@
 		return drawFault()
 	})
 	waitUntilOver(ctx, fault)
-	f.setCommitFault(nil)
-}
-
-func (f *FaultInjector) setCommitFault(commitFault commitFaultFunc) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.commitFault = commitFault
+	remove()
 }
