--- a/internal/controller/listing.go
+++ b/internal/controller/listing.go
@@ -108,6 +108,7 @@
 	now := time.Now()
 	adopted := map[string]records.MachineRecord{}
 	byOffering := map[autoscaler.Offering][]string{}
+	var offerings []autoscaler.Offering // in the order of their first machines
 	for _, machine := range cloudMachines {
 		if _, known := machines[machine.ID]; known || !l.isAdoptable(machine) {
 			continue
@@ -116,10 +117,13 @@
 		machines[machine.ID] = machineEntry{record: record}
 		adopted[machine.ID] = record
 		offering := offeringOfListedMachine(machine)
+		if byOffering[offering] == nil {
+			offerings = append(offerings, offering)
+		}
 		byOffering[offering] = append(byOffering[offering], machine.ID)
 	}
-	for offering, ids := range byOffering {
-		for _, group := range l.splitIntoGroups(offering, ids, adopted) {
+	for _, offering := range offerings {
+		for _, group := range l.splitIntoGroups(offering, byOffering[offering], adopted) {
 			compare, write := newGroupWrite(group)
 			if err := l.commit(ctx, []wire.Compare{compare}, []wire.Write{write}); err != nil {
 				slog.Debug("recording adopted machines failed", "err", err)
