--- a/cmd/ambersill/main.go
+++ b/cmd/ambersill/main.go
@@ -70,7 +70,7 @@
 		Use:   "ambersill --config FILE",
 		Short: "Run a controller of the cluster scheduler",
 		Long: "Runs a controller of the cluster scheduler until it is interrupted or terminated.\n" +
-			"It logs to standard error, at the level in LOG_LEVEL: error, info or debug.",
+			"It logs to standard error, at the level in LOG_LEVEL: error, warn, info or debug.",
 		Example:       "  ambersill --config settings.toml --policy policy.star",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,8 +35,10 @@
 
 // Cluster has the settings that are the same for all controllers.
 type Cluster struct {
-	ControllerCount  int           `toml:"count"` // number of controllers, including this one
-	Zones            []string      `toml:"zones"`
+	ControllerCount int      `toml:"count"` // number of controllers, including this one
+	Zones           []string `toml:"zones"`
+	// ClockErrorMS bounds the error of the time of day. No lease or deadline depends on the time
+	// of day of two hosts, so nothing has to allow for it.
 	ClockErrorMS     float64       `toml:"clock_error_ms"`
 	Teams            []Team        `toml:"teams"`
 	WorkerTiming     WorkerTiming  `toml:"workers"`
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// minTxnWrites is the smallest supported limit on the writes of a transaction. Completing a
+	// MinTxnWrites is the smallest supported limit on the writes of a transaction. Completing a
 	// job or a rental takes two writes, and a third allows another change in the same
 	// transaction.
-	minTxnWrites = 3
+	MinTxnWrites = 3
 	// minSockets is the smallest number of sockets with which a controller can operate.
 	minSockets = 50
 )
@@ -138,8 +138,8 @@
 // validate checks the limits of the key-value store that validateAmounts does not check. An
 // announced limit may be 0, which means that the limit does not change.
 func (s *Store) validate() *Error {
-	if s.MaxTxnWrites < minTxnWrites {
-		return newError("cluster.state.txn_ops", "must be at least %d", minTxnWrites)
+	if s.MaxTxnWrites < MinTxnWrites {
+		return newError("cluster.state.txn_ops", "must be at least %d", MinTxnWrites)
 	}
 	if s.Announced == nil {
 		return nil
@@ -153,8 +153,8 @@
 			return newError(limit.key, "must not be negative")
 		}
 	}
-	if s.Announced.MaxTxnWrites != 0 && s.Announced.MaxTxnWrites < minTxnWrites {
-		return newError("cluster.state.next.txn_ops", "must be at least %d", minTxnWrites)
+	if s.Announced.MaxTxnWrites != 0 && s.Announced.MaxTxnWrites < MinTxnWrites {
+		return newError("cluster.state.next.txn_ops", "must be at least %d", MinTxnWrites)
 	}
 	return nil
 }
--- a/internal/scheduler/layout.go
+++ b/internal/scheduler/layout.go
@@ -40,18 +40,16 @@
 	p.layout.featureLevel = max(p.layout.featureLevel, level)
 }
 
-// Lower bounds of the limits that ReduceWriteLimits sets.
-const (
-	minValueKiB  = 1 // a job's description must still fit into a value
-	minTxnWrites = 3 // committing a job's end takes two writes, and one more must fit with them
-)
+// minValueKiB is the lower bound of the value size that ReduceWriteLimits sets. A job's description
+// must still fit into a value.
+const minValueKiB = 1
 
 // ReduceWriteLimits halves the limits of values and transactions. It is called when the key-value
 // store has rejected a commit as invalid, because then its limits are lower than configured.
 func (p *Partition) ReduceWriteLimits() {
 	limits := &p.layout.limits
 	limits.MaxValueKiB = max(limits.MaxValueKiB/2, minValueKiB)
-	limits.MaxTxnWrites = max(limits.MaxTxnWrites/2, minTxnWrites)
+	limits.MaxTxnWrites = max(limits.MaxTxnWrites/2, config.MinTxnWrites)
 }
 
 // writesExplicitRanges reports whether the cluster's feature level permits records with explicit
