Emulator: overlapping faults of one kind end separately

Seen: the end of one fault also ended every other active one of its kind (outage, slow store, stalled watches, refused listings, refused node, slow links, slow processor, cut links of nodes), and the end of a fault of a machine's links ended all three kinds of them there. Simulations tested less than their scripts say.

The tests failed before: TestOverlappingFaultsOfOneKindEndSeparately: all 11 kinds, "fault is active after 6s more: got false, want true" TestMachineLinkFaultsOfTwoKindsEndSeparately: got inbound false, outbound false, want only outbound

--- a/internal/emulator/fault_injector.go
+++ b/internal/emulator/fault_injector.go
@@ -43,6 +43,8 @@
 	injectedCounts  map[FaultKind]int
 	commitFaults    activeFaults[commitFaultFunc]
 	heartbeatFaults activeFaults[heartbeatFunc]
+	switches        overlappingSettings[bool]
+	delays          overlappingSettings[time.Duration]
 	wg              sync.WaitGroup
 }
 
@@ -207,20 +209,22 @@
 	return nodes
 }
 
-// enableDuringFault calls setEnabled with true, and with false when the fault is over.
+// enableDuringFault calls setEnabled with true, and with false when the fault is over and no other
+// one of its kind is active.
 func (f *FaultInjector) enableDuringFault(ctx context.Context, fault Fault, setEnabled func(on bool)) {
 	f.countInjected(fault.Kind, 1)
-	setEnabled(true)
+	end := f.switches.begin(settingKey{kind: fault.Kind}, true, setEnabled)
 	waitUntilOver(ctx, fault)
-	setEnabled(false)
+	end()
 }
 
-// delay calls setDelay with the fault's Delay, and with 0 when the fault is over.
+// delay calls setDelay with the fault's Delay, and when the fault is over with that of another active
+// fault of its kind, or 0 if there is none.
 func (f *FaultInjector) delay(ctx context.Context, fault Fault, setDelay func(delay time.Duration)) {
 	f.countInjected(fault.Kind, 1)
-	setDelay(fault.Delay)
+	end := f.delays.begin(settingKey{kind: fault.Kind}, fault.Delay, setDelay)
 	waitUntilOver(ctx, fault)
-	setDelay(0)
+	end()
 }
 
 // waitUntilOver waits until the fault is over or the context ends.
--- a/internal/emulator/fault_injector_test.go
+++ b/internal/emulator/fault_injector_test.go
@@ -85,3 +85,93 @@
 		}
 	})
 }
+
+// Guards against faults without effect: the end of the first of two overlapping faults of the same
+// kind also ended the second.
+func TestOverlappingFaultsOfOneKindEndSeparately(t *testing.T) {
+	for _, c := range []struct {
+		kind   FaultKind
+		active func(injector *FaultInjector, worker *Worker) bool
+	}{
+		{StoreOutage, func(injector *FaultInjector, _ *Worker) bool { return injector.Store.faults.down }},
+		{StoreSlow, func(injector *FaultInjector, _ *Worker) bool { return injector.Store.faults.responseDelay > 0 }},
+		{WatchesStalled, func(injector *FaultInjector, _ *Worker) bool { return injector.Store.faults.watchesStalled }},
+		{ListsRefused, func(injector *FaultInjector, _ *Worker) bool { return injector.Store.faults.listsRefused }},
+		{StoreRefusesNode, func(injector *FaultInjector, _ *Worker) bool { return injector.Store.refusesHost(testHost) }},
+		{SlowLinks, func(injector *FaultInjector, _ *Worker) bool { return injector.Simulation.linkDelay > 0 }},
+		{SlowProcessor, func(injector *FaultInjector, _ *Worker) bool { return injector.Network.messageCost[testHost] > 0 }},
+		{CloudCut, func(injector *FaultInjector, _ *Worker) bool {
+			return injector.Network.cutLinks[directedLink{from: testHost, to: cloudHost}]
+		}},
+		{MachineInboundCut, func(_ *FaultInjector, worker *Worker) bool { return worker.inboundCut }},
+		{MachineOutboundCut, func(_ *FaultInjector, worker *Worker) bool { return worker.outboundCut }},
+		{DelayedCommands, func(_ *FaultInjector, worker *Worker) bool { return worker.commandDelay > 0 }},
+	} {
+		t.Run(string(c.kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				injector, worker := newInjectorWithWorker()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				fault := Fault{ActiveFor: 10 * time.Second, Kind: c.kind, Nodes: []int{0}, Delay: time.Second}
+				second := fault
+				second.Start = 5 * time.Second
+				go injector.Run(ctx, fault, second)
+				for _, step := range []struct {
+					wait time.Duration
+					want bool
+				}{{time.Second, true}, {6 * time.Second, true}, {6 * time.Second, true}, {4 * time.Second, false}} {
+					time.Sleep(step.wait)
+					synctest.Wait()
+					var got bool
+					injector.withLocks(func() { got = c.active(injector, worker) })
+					if got != step.want {
+						t.Errorf("fault is active after %v more: got %t, want %t", step.wait, got, step.want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a link fault of a machine that ends together with a fault of another kind.
+func TestMachineLinkFaultsOfTwoKindsEndSeparately(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		injector, worker := newInjectorWithWorker()
+		go injector.Run(t.Context(),
+			Fault{ActiveFor: 10 * time.Second, Kind: MachineInboundCut},
+			Fault{ActiveFor: 20 * time.Second, Kind: MachineOutboundCut})
+		time.Sleep(15 * time.Second)
+		synctest.Wait()
+		var inbound, outbound bool
+		injector.withLocks(func() { inbound, outbound = worker.inboundCut, worker.outboundCut })
+		if inbound || !outbound {
+			t.Errorf("cuts after 15 s, with one inbound for 10 s and one outbound for 20 s: got inbound %t, outbound %t, want only outbound", inbound, outbound)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// withLocks calls read while it holds the locks of the emulated systems.
+func (f *FaultInjector) withLocks(read func()) {
+	f.Simulation.mu.Lock()
+	defer f.Simulation.mu.Unlock()
+	f.Store.mu.Lock()
+	defer f.Store.mu.Unlock()
+	f.Network.mu.Lock()
+	defer f.Network.mu.Unlock()
+	read()
+}
+
+// newInjectorWithWorker returns an injector whose cloud has one machine with one task.
+func newInjectorWithWorker() (*FaultInjector, *Worker) {
+	injector := newTestInjector()
+	checker := newCheckerSetup()
+	job := checker.submitAndAccept(nil)
+	checker.startTaskOn(checker.west, job, 0)
+	injector.Simulation = checker.Simulation
+	injector.Network = NewNetwork()
+	injector.Cloud = &Cloud{machines: map[string]*rentedMachine{
+		checker.west.Machine.ID: {machine: checker.west.Machine, worker: checker.west},
+	}}
+	return injector, checker.west
+}
--- a/internal/emulator/fault_machines.go
+++ b/internal/emulator/fault_machines.go
@@ -21,16 +21,18 @@
 	f.countInjected(fault.Kind, len(workers))
 }
 
-// cutMachines cuts machines off in one direction by calling setCut, and restores all their links
-// when the fault is over.
+// cutMachines cuts machines off in one direction by calling setCut, and restores that direction when
+// the fault is over, unless another active fault has cut it too.
 func (f *FaultInjector) cutMachines(ctx context.Context, fault Fault, setCut func(worker *Worker, on bool)) {
 	workers := f.targetWorkers(fault)
+	var ends []func()
 	for _, worker := range workers {
-		setCut(worker, true)
+		key := settingKey{kind: fault.Kind, target: worker.Machine.ID}
+		ends = append(ends, f.switches.begin(key, true, func(on bool) { setCut(worker, on) }))
 	}
 	f.countInjected(fault.Kind, len(workers))
 	waitUntilOver(ctx, fault)
-	restoreLinks(workers)
+	callAll(ends)
 }
 
 // delayCommands delays the commands that are sent directly to machines until the fault is over.
@@ -38,22 +40,14 @@
 func (f *FaultInjector) delayCommands(ctx context.Context, fault Fault) {
 	workers := f.targetWorkers(fault)
 	before := countLateCommandRequests(workers)
+	var ends []func()
 	for _, worker := range workers {
-		worker.DelayCommands(fault.Delay)
+		key := settingKey{kind: fault.Kind, target: worker.Machine.ID}
+		ends = append(ends, f.delays.begin(key, fault.Delay, worker.DelayCommands))
 	}
 	waitUntilOver(ctx, fault)
 	f.countInjected(fault.Kind, countLateCommandRequests(workers)-before)
-	restoreLinks(workers)
-}
-
-// restoreLinks ends every link fault of the machines, including those that another fault of the
-// script began.
-func restoreLinks(workers []*Worker) {
-	for _, worker := range workers {
-		worker.CutInbound(false)
-		worker.CutOutbound(false)
-		worker.DelayCommands(0)
-	}
+	callAll(ends)
 }
 
 func countLateCommandRequests(workers []*Worker) int {
--- a/internal/emulator/fault_nodes.go
+++ b/internal/emulator/fault_nodes.go
@@ -34,9 +34,10 @@
 // fault's Delay.
 func (f *FaultInjector) slowProcessors(ctx context.Context, fault Fault) {
 	f.applyToNodes(fault, func(name string) {
-		f.Network.SetMessageCost(name, fault.Delay)
+		setCost := func(cost time.Duration) { f.Network.SetMessageCost(name, cost) }
+		end := f.delays.begin(settingKey{kind: fault.Kind, target: name}, fault.Delay, setCost)
 		waitUntilOver(ctx, fault)
-		f.Network.SetMessageCost(name, 0)
+		end()
 	})
 }
 
@@ -57,28 +58,48 @@
 	calls.Wait()
 }
 
-// cutLinks cuts the links that a fault affects, and restores them when the fault is over.
+// cutLinks cuts the links that a fault affects, and when the fault is over restores those that no
+// other active fault has cut.
 func (f *FaultInjector) cutLinks(ctx context.Context, fault Fault) {
 	f.countInjected(fault.Kind, 1)
-	f.setLinksCut(fault, true)
+	var ends []func()
+	for _, link := range f.linksCutBy(fault) {
+		setCut := func(cut bool) { f.Network.SetLinkCut(link.from, link.to, cut) }
+		ends = append(ends, f.switches.begin(linkKey(link), true, setCut))
+	}
 	waitUntilOver(ctx, fault)
-	f.setLinksCut(fault, false)
+	callAll(ends)
+}
+
+// linkKey returns the key of the setting that cuts a link. It is the same for both directions, and
+// for all kinds of faults that cut links.
+func linkKey(link directedLink) settingKey {
+	return settingKey{target: min(link.from, link.to) + " " + max(link.from, link.to)}
+}
+
+// callAll calls each of the functions.
+func callAll(functions []func()) {
+	for _, function := range functions {
+		function()
+	}
 }
 
-// setLinksCut cuts or restores the links that a fault affects.
-func (f *FaultInjector) setLinksCut(fault Fault, cut bool) {
+// linksCutBy returns the links that a fault cuts, in one of their directions.
+func (f *FaultInjector) linksCutBy(fault Fault) []directedLink {
 	faultNodes := f.nodeNames(fault.Nodes)
+	var links []directedLink
 	for name := range faultNodes {
 		for _, host := range f.hostsCutFrom(name, faultNodes, fault) {
-			f.Network.SetLinkCut(name, host, cut)
+			links = append(links, directedLink{from: name, to: host})
 		}
 	}
 	if fault.Kind != ZoneCut {
-		return
+		return links
 	}
 	for _, host := range f.nodeNamesExcept(faultNodes) {
-		f.Network.SetLinkCut(workersHostPrefix+fault.Zone, host, cut)
+		links = append(links, directedLink{from: workersHostPrefix + fault.Zone, to: host})
 	}
+	return links
 }
 
 // hostsCutFrom returns the names of the hosts that a fault cuts the named node off from.
--- a/internal/emulator/fault_store.go
+++ b/internal/emulator/fault_store.go
@@ -15,15 +15,19 @@
 // refuseNodeRequests makes the key-value store refuse all requests of the nodes until the fault is
 // over, and counts the refused requests.
 func (f *FaultInjector) refuseNodeRequests(ctx context.Context, fault Fault) {
-	for _, node := range fault.Nodes {
-		f.Store.RefuseHost(f.Nodes[node].Name, true)
-	}
-	waitUntilOver(ctx, fault)
+	var ends []func()
 	for _, node := range fault.Nodes {
 		name := f.Nodes[node].Name
-		f.countInjected(fault.Kind, f.Store.RefusedRequests(name))
-		f.Store.RefuseHost(name, false)
+		refuse := func(on bool) { f.Store.RefuseHost(name, on) }
+		end := f.switches.begin(settingKey{kind: fault.Kind, target: name}, true, refuse)
+		before := f.Store.RefusedRequests(name)
+		ends = append(ends, func() {
+			f.countInjected(fault.Kind, f.Store.RefusedRequests(name)-before)
+			end()
+		})
 	}
+	waitUntilOver(ctx, fault)
+	callAll(ends)
 }
 
 // delayCommits makes commits execute late and leaves them unanswered.
