Simulate a cloud that does not answer, and adoption by three owners

TestCloudThatDoesNotAnswerGetsNoSecondRental: with the autoscaler as it was it fails, got 8 machines after the cloud was cut off for a minute, want 2.

--- a/internal/controller/adoption_test.go
+++ b/internal/controller/adoption_test.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"ambersill/internal/emulator"
 	"ambersill/internal/records"
 	"ambersill/internal/wire"
 )
@@ -38,3 +40,60 @@
 		}
 	})
 }
+
+// The partitions of adopted machines are the same on every run, with several owners too.
+func TestAdoptedMachinesGetTheSamePartitions(t *testing.T) {
+	const partitions = 3
+	first := adoptedPartitions(t, partitions)
+	if len(first) == 0 || !maps.Equal(first, adoptedPartitions(t, partitions)) {
+		t.Errorf("partitions of the machines adopted in two runs: got different ones or none, want the same ones; first run: %v", first)
+	}
+}
+
+// adoptedPartitions returns the partition that each machine gets when a cluster with the given number
+// of partitions adopts it.
+func adoptedPartitions(t *testing.T, partitions int) map[string]int {
+	t.Helper()
+	adopted := map[string]int{}
+	simulate(t, 1, func(t *testing.T, cluster *simulatedCluster) {
+		cluster.tuning.Parts = partitions
+		cluster.store.OnPut = func(key string, before, after wire.Raw) {
+			if !strings.HasPrefix(key, records.MachinePrefix) || len(before) > 0 {
+				return
+			}
+			var group records.MachineGroupRecord
+			if err := wire.Unmarshal(after, &group); err != nil {
+				t.Error(err)
+			}
+			for id, machine := range group.Machines {
+				adopted[id] = machine.Partition
+			}
+		}
+		for range initialCapacity {
+			for _, zone := range []string{"a", "b"} {
+				cluster.cloud.AddMachine("small", zone, true)
+				cluster.cloud.AddMachine("big", zone, false)
+			}
+		}
+		cluster.startNodes()
+		time.Sleep(time.Minute)
+	})
+	return adopted
+}
+
+// Guards against machines that are rented again and again while the cloud does not answer.
+func TestCloudThatDoesNotAnswerGetsNoSecondRental(t *testing.T) {
+	const tasks = 2 // each fills a machine
+	simulateOnePartition(t, 1, func(cluster *simulatedCluster) {
+		const readCatalog, cut, boot = 10 * second, time.Minute, 30 * second
+		time.Sleep(readCatalog)
+		cloudCut := emulator.Fault{ActiveFor: cut, Kind: emulator.CloudCut, Nodes: allNodes}
+		cluster.background.Go(func() { cluster.injector.Run(cluster.ctx, cloudCut) })
+		cluster.submit(newSmallMachineJob(1, tasks, 8, 60), 0)
+		time.Sleep(cut + boot)
+		if got := len(cluster.cloud.Workers()); got != tasks {
+			t.Errorf("machines %v after the cloud answers again: got %d, want %d", boot, got, tasks)
+		}
+		cluster.waitForJobsAndCheck(5 * time.Minute)
+	})
+}
