Emulator: nothing of a task happens after its machine's lease has expired

Cause, from both traces ("removed: lease expired", then "gathering" of the same attempt, at the same instant): a fetch ended when the lease was over, but no heartbeat had noticed that yet. Simulation.startTask first ends all leases that have expired, and so removed the task, and then started it all the same. Nothing ever removed it; the next attempt was the second one. PROTOCOL, "Leases": the worker "kills and forgets all of its tasks". The owner was right to place the task again.

The same fault elsewhere: tasks and gangs completed and saved after the expiry, and a response that arrived after it renewed the lease. There the emulator hid faults rather than inventing one.

Why the fix works: the timers of tasks and gangs and the responses end the expired leases first, under the same lock, and look at the task only afterwards.

The tests before the fix:

--- FAIL: TestTaskDoesNotStartAfterItsLeaseExpired/machine_with_a_running_task violations: got ["00:00:12.001 ran_twice: task req-1/0, attempt 2, started on machine m-3 while the task was on another machine"], want none tasks that have started: got 2, want 1 --- FAIL: TestTasksDoNothingAfterTheirLeaseExpired/array_task_completes task 0 after 1h0m1.001s: got done, want absent task 0 counts as completed: got true, want false --- FAIL: TestTasksDoNothingAfterTheirLeaseExpired/array_task_saves_a_checkpoint task 0 after 1h0m1.001s: got halted saved, want absent --- FAIL: TestTasksDoNothingAfterTheirLeaseExpired/gang_completes task 0 after 1h0m6.001s: got done, want absent (and so for the other two, want mates_gone) task 0 counts as completed: got true, want false (and so for the other two) --- FAIL: TestTasksDoNothingAfterTheirLeaseExpired/other_tasks_of_the_gang_save_a_checkpoint task 1 after 1h0m1.001s: got halted saved, want halted (and so for the other two) --- FAIL: TestTasksDoNothingAfterTheirLeaseExpired/wait_of_the_gang's_saved_tasks_ends task 1 after 1h0m1.001s: got halted saved, want halted (and so for the other two) --- FAIL: TestResponseDoesNotRenewAnExpiredLease task 0 after 2s: got gathering, want absent incarnation: got 0, want 1

--- a/internal/emulator/gang.go
+++ b/internal/emulator/gang.go
@@ -92,6 +92,24 @@
 // ended reports whether the run can neither progress nor fail any more.
 func (g *gangRun) ended() bool { return g.completed || g.failed || g.progressSafe }
 
+// schedule calls f after d with the simulation's lock held, once the leases that have expired by
+// then have ended.
+func (g *gangRun) schedule(d time.Duration, f func()) *scheduledAction {
+	return g.simulation.schedule(d, func() {
+		g.expireLeases()
+		f()
+	})
+}
+
+// expireLeases removes the members whose machines' leases have expired.
+func (g *gangRun) expireLeases() {
+	for _, member := range g.sortedMembers() {
+		if worker := g.members[member]; worker != nil {
+			worker.expireLease()
+		}
+	}
+}
+
 // resumeProgress lets the run progress, unless it has ended, is being stopped, or the machine of a
 // task hangs.
 func (g *gangRun) resumeProgress() {
@@ -105,7 +123,7 @@
 	}
 	g.resumedAt = time.Now()
 	remaining := g.simulation.runTime(g.job, 0) - g.progress
-	g.completion = g.simulation.schedule(max(remaining, minTimerDelay), g.complete)
+	g.completion = g.schedule(max(remaining, minTimerDelay), g.complete)
 }
 
 // suspendProgress ends the run's progress until resumeProgress is called.
@@ -118,8 +136,11 @@
 	g.progress += time.Since(g.resumedAt)
 }
 
-// complete completes all tasks of the gang.
+// complete completes all tasks of the gang, unless the run has ended.
 func (g *gangRun) complete() {
+	if g.ended() {
+		return
+	}
 	g.completion = nil
 	g.completed = true
 	members := g.sortedMembers()
@@ -141,7 +162,7 @@
 	if g.firstStopAt.IsZero() {
 		g.suspendProgress()
 		g.firstStopAt = time.Now()
-		g.simulation.schedule(g.simulation.GangPeerTimeout, g.handleStopTimeout)
+		g.schedule(g.simulation.GangPeerTimeout, g.handleStopTimeout)
 	}
 	g.toldToStop[t] = true
 	worker.setState(t, wire.TaskSaving)
@@ -206,7 +227,7 @@
 	}
 	g.suspendProgress()
 	hang := worker.resume
-	g.simulation.schedule(g.simulation.GangPeerTimeout, func() {
+	g.schedule(g.simulation.GangPeerTimeout, func() {
 		sameHang := worker.hung && worker.resume == hang
 		if sameHang && !g.ended() && g.firstStopAt.IsZero() {
 			g.fail(minTimerDelay)
--- a/internal/emulator/lifecycle.go
+++ b/internal/emulator/lifecycle.go
@@ -23,9 +23,13 @@
 	}
 }
 
-// startTask starts a task on a machine, which must have fetched the task's image.
+// startTask starts a task on a machine, which must have fetched the task's image, unless the
+// machine's lease has expired.
 func (s *Simulation) startTask(worker *Worker, t *task) {
 	s.checkRunningAfterCancellation()
+	if worker.tasks[t.name] != t {
+		return
+	}
 	s.recordStart(t)
 	s.checkStart(worker, t)
 	if s.tasksOnMachines[t.name] == nil {
--- a/internal/emulator/task_timer.go
+++ b/internal/emulator/task_timer.go
@@ -73,12 +73,17 @@
 	}
 }
 
-// startTimer schedules the task's timer.
+// startTimer schedules the task's timer. Leases that have expired by then end first: they may end
+// the task, or the run of its gang.
 func (w *Worker) startTimer(t *task) {
 	timer := t.timer
 	delay := max(time.Until(timer.dueAt), minTimerDelay)
 	timer.scheduled = w.simulation.schedule(delay, func() {
 		t.timer = nil
+		w.expireLease()
+		if t.gang != nil {
+			t.gang.expireLeases()
+		}
 		if w.dead || w.tasks[t.name] != t || t.state == wire.TaskExited {
 			return
 		}
--- a/internal/emulator/worker_heartbeats.go
+++ b/internal/emulator/worker_heartbeats.go
@@ -126,8 +126,9 @@
 
 // acceptResponse renews the lease and executes the commands of a response. It ignores a response to
 // a heartbeat of an earlier incarnation, one with a lower fencing token than the worker has seen,
-// and one that arrives after responseTimeout.
+// and one that arrives after responseTimeout. A lease that has expired meanwhile is not renewed.
 func (w *Worker) acceptResponse(e *heartbeatExchange) {
+	w.expireLease()
 	token := e.response.FencingToken
 	if e.heartbeat.Incarnation != w.incarnation || token < w.fencingToken || time.Since(e.sentAt) > responseTimeout {
 		return
