Checker: tasks of a machine whose lease has expired do not count as placed

What callers saw: nothing; the check left_waiting could miss a job that waits beside free machines. Cause: the tasks on a machine were read without ending its lease first. While a machine hangs, only other code ends it, and that code skips machines on which no task has started. Why the fix works: CheckWaitingJobs ends expired leases before it counts, as the other checks do.

The test before the fix:

--- FAIL: TestTaskOfAnExpiredLeaseDoesNotCountAsPlaced lease_test.go:157: violations: got [], want one of rule left_waiting

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -349,6 +349,9 @@
 		return
 	}
 	now := time.Now()
+	for _, worker := range workers {
+		worker.expireLease()
+	}
 	placed := countPlacedTasks(workers)
 	for id, state := range s.jobs {
 		if state.acceptedAt.IsZero() {
--- a/internal/emulator/checker_test.go
+++ b/internal/emulator/checker_test.go
@@ -72,6 +72,11 @@
 	s.RecordPhaseAnswer(job.ID, wire.JobCancelled, time.Now())
 }
 
+// containsRule reports whether one of the violations is of the rule.
+func containsRule(violations []string, violated rule) bool {
+	return slices.ContainsFunc(violations, func(v string) bool { return strings.Contains(v, " "+string(violated)+": ") })
+}
+
 // Each way to violate a rule is reported, and under that rule only. All simulated scenarios rely
 // on the checker, so that a violation that it misses goes unnoticed in their tests.
 func TestBrokenRulesAreReported(t *testing.T) {
--- a/internal/emulator/gang_test.go
+++ b/internal/emulator/gang_test.go
@@ -1,8 +1,6 @@
 package emulator
 
 import (
-	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -306,7 +304,7 @@
 			time.Sleep(6 * time.Second)
 			g.workers[0] = g.east
 			g.restart()
-			if violations := g.Violations(); !slices.ContainsFunc(violations, func(v string) bool { return strings.Contains(v, string(ruleRanTwice)) }) {
+			if violations := g.Violations(); !containsRule(violations, ruleRanTwice) {
 				t.Errorf("violations: got %q, want one of rule %s", violations, ruleRanTwice)
 			}
 		}},
--- a/internal/emulator/lease_test.go
+++ b/internal/emulator/lease_test.go
@@ -138,3 +138,23 @@
 		}
 	})
 }
+
+// Guards against a job that may wait for ever because a machine which has dropped the job's task,
+// after its lease had expired, is thought to have it still.
+func TestTaskOfAnExpiredLeaseDoesNotCountAsPlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newExpiringLeaseSetup()
+		g.job.Shape = wire.ArrayJob
+		g.setImageFetchTime(time.Hour)
+		g.workers[0].Execute(g.command(wire.StartTask, 0))
+		g.RecordFaultsOver()
+		g.CheckWaitingJobs(g.workers)
+		time.Sleep(10*time.Second + 1)
+		g.CheckWaitingJobs(g.workers)
+		time.Sleep(maxWaitDespiteCapacity + 1)
+		g.CheckWaitingJobs(g.workers)
+		if violations := g.Violations(); !containsRule(violations, ruleLeftWaiting) {
+			t.Errorf("violations: got %q, want one of rule %s", violations, ruleLeftWaiting)
+		}
+	})
+}
