--- a/internal/docs/known_red_test.go
+++ b/internal/docs/known_red_test.go
@@ -51,3 +51,69 @@
 		})
 	}
 }
+
+// knownRedPackage is a package with a test that passes, one that fails, and one with two seeds by
+// default, of which seed 1 fails.
+const knownRedPackage = `package example
+
+import (
+	"os"
+	"strconv"
+	"testing"
+)
+
+func TestPasses(*testing.T) {}
+
+func TestFails(t *testing.T) { t.Fail() }
+
+func TestSeeds(t *testing.T) {
+	seeds := 2
+	if value, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		seeds = value
+	}
+	for seed := range seeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			if seed == 1 {
+				t.Fail()
+			}
+		})
+	}
+}
+`
+
+// A listed name that matches no test must make CI fail: a test that was renamed would otherwise
+// fail the run, or be passed over for ever.
+func TestKnownRedTestIsRunAndPassedOver(t *testing.T) {
+	directory := t.TempDir()
+	files := map[string]string{"go.mod": "module example\n\ngo 1.22\n", "example_test.go": knownRedPackage}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	script, err := filepath.Abs(filepath.Join(moduleRoot, ".ci", "run-known-red.sh"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		test       string
+		wantOutput string // the last line
+		wantError  bool
+	}{
+		{"TestPasses", "known red, passed this time: TestPasses", false},
+		{"TestFails", "KNOWN RED, see KNOWN-RED.txt: TestFails", false},
+		{"TestSeeds/1", "KNOWN RED, see KNOWN-RED.txt: TestSeeds/1", false},
+		{"TestSeeds/5", "known red, passed this time: TestSeeds/5", false},
+		{"TestPass", "KNOWN-RED.txt: no test has the name TestPass", true},
+		{"TestPasses/1", "KNOWN-RED.txt: no test has the name TestPasses/1", true},
+	} {
+		t.Run(c.test, func(t *testing.T) {
+			command := exec.CommandContext(t.Context(), "bash", script, c.test)
+			command.Dir = directory
+			output, err := command.CombinedOutput()
+			if (err != nil) != c.wantError || !strings.HasSuffix(string(output), c.wantOutput+"\n") {
+				t.Errorf("result: got %v with output\n%s\nwant a last line %q", err, output, c.wantOutput)
+			}
+		})
+	}
+}
