Autoscaler: machines without room for any waiting task are not examined again

Each waiting demand went through all machines of the plan, full ones too. The plans are the same: a machine is left out once the smallest request, for each resource by itself, does not fit any more. Needed before the leader learns of more demand.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -99,9 +99,7 @@
 // target are returned when the surplus has lasted for GiveBackS. The target may be zero.
 func (a *Autoscaler) Plan(input Input, now time.Time) Plan {
 	builder := newPlanBuilder(a.tuning, input)
-	for _, demand := range waitingDemands(input.Summaries) {
-		builder.placeDemand(demand)
-	}
+	builder.placeDemands(waitingDemands(input.Summaries))
 	allocated := sumAllocatedCapacity(input.Summaries)
 	builder.plan.AllocatedMachines = allocated.machinesByType()
 	for _, machineType := range input.MachineTypes {
--- a/internal/autoscaler/demand.go
+++ b/internal/autoscaler/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"ambersill/internal/records"
+	"ambersill/internal/resource"
 )
 
 // partitionDemand is a demand that waits in a partition.
@@ -34,6 +35,19 @@
 	return demands
 }
 
+// smallestRequest returns the least that a task of any of the demands requests, for each resource
+// by itself. A machine on which it does not fit has no room for any of them.
+func smallestRequest(demands []partitionDemand) resource.Vector {
+	smallest := resource.Vector{CPUs: math.Inf(1), GPUs: math.Inf(1), MemoryGB: math.Inf(1)}
+	for _, demand := range demands {
+		request := demand.Request()
+		smallest.CPUs = min(smallest.CPUs, request.CPUs)
+		smallest.GPUs = min(smallest.GPUs, request.GPUs)
+		smallest.MemoryGB = min(smallest.MemoryGB, request.MemoryGB)
+	}
+	return smallest
+}
+
 // concurrentTasks returns how many of a demand's tasks need capacity at the same time. All
 // tasks of a gang do, and all tasks that run for HorizonS or longer. Shorter tasks run one
 // after another on the same capacity within HorizonS: the result is
--- a/internal/autoscaler/planbuilder.go
+++ b/internal/autoscaler/planbuilder.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// placeDemands assigns the tasks of all demands to machines, in order.
+func (b *planBuilder) placeDemands(demands []partitionDemand) {
+	smallest := smallestRequest(demands)
+	for _, demand := range demands {
+		b.placeDemand(demand)
+		b.bins = slices.DeleteFunc(b.bins, func(bin *capacityBin) bool {
+			return bin.usedByPlan && !bin.remaining.Contains(smallest)
+		})
+	}
+}
+
 // placeDemand assigns the tasks of a demand to machines, and plans the rentals and
 // reassignments that the assignment needs.
 func (b *planBuilder) placeDemand(demand partitionDemand) {
