Summaries are written in transactions that the key-value store accepts

What callers would see: beside some 4,500 machines in a partition no machines for new work, since the leader sizes the fleet by a summary that is never replaced. No deployment is that large yet.

Cause: all changed records of a summary went into one transaction, up to txn_ops of them, whatever their size. The store takes 64 KiB, and the flags of the machines alone exceed that.

Why the fix works: as many records as fit into MaxTxnBytes, each of the maximum size of a value, go into one transaction, as for machine groups (valuesPerTxn, renamed from groupsPerTxn).

The test before the fix:

--- FAIL: TestSummaryOfManyMachinesFitsIntoTransactions summary_writer_test.go:68: transaction with 6 records: got 78201 bytes, error <nil>, want at most 65536 bytes

--- a/internal/controller/machine_groups.go
+++ b/internal/controller/machine_groups.go
@@ -161,9 +161,9 @@
 	return records.MaxValueBytes(c.limits.MaxValueKiB)
 }
 
-// groupsPerTxn returns the number of groups, each of up to the given number of bytes, that may
+// valuesPerTxn returns the number of values, each of up to the given number of bytes, that may
 // be written in one transaction without exceeding tuning.MaxTxnBytes. It is at least 1.
-func groupsPerTxn(groupBytes int) int { return max(1, tuning.MaxTxnBytes/groupBytes) }
+func valuesPerTxn(valueBytes int) int { return max(1, tuning.MaxTxnBytes/valueBytes) }
 
 // sortEvents returns the events in the order in which they can be applied one by one: by
 // ascending revision, then by descending key. When a group is split, the new groups have
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -59,7 +59,7 @@
 	ctx context.Context, fence wire.Compare, changes map[string]*records.MachineRecord,
 ) error {
 	maxBytes := c.maxGroupBytes()
-	maxWrites := min(c.limits.MaxTxnWrites, groupsPerTxn(maxBytes))
+	maxWrites := min(c.limits.MaxTxnWrites, valuesPerTxn(maxBytes))
 	var batch groupChange
 	for _, change := range c.cluster.groupChanges(changes, maxBytes) {
 		if len(batch.writes) > 0 && len(batch.writes)+len(change.writes) > maxWrites {
--- a/internal/controller/rental.go
+++ b/internal/controller/rental.go
@@ -53,7 +53,7 @@
 // machines' groups must fit into one transaction that also deletes the rental's record.
 func (l *leader) maxMachinesPerRental(offering autoscaler.Offering) int {
 	limits := l.controller.limits
-	groups := min(limits.MaxTxnWrites-1, groupsPerTxn(records.MaxValueBytes(limits.MaxValueKiB)))
+	groups := min(limits.MaxTxnWrites-1, valuesPerTxn(records.MaxValueBytes(limits.MaxValueKiB)))
 	return min(tuning.MaxMachinesPerRental, groups*l.machinesPerGroup(offering))
 }
 
--- a/internal/controller/summary_writer.go
+++ b/internal/controller/summary_writer.go
@@ -64,23 +64,35 @@
 	if time.Since(o.summary.lastAttempt) < o.summary.minInterval {
 		return
 	}
-	changed := o.summary.changedRecords(o.summaryRecords(), o.controller.limits.MaxTxnWrites)
+	values := o.summaryRecords()
+	changed := o.summary.changedRecords(values, len(values))
 	if len(changed) == 0 {
 		return
 	}
 	o.summary.lastAttempt = time.Now()
 	o.summary.minInterval = o.controller.summaryInterval(len(changed))
-	// A condition on the partition's key is enough, because only the partition's owner
-	// writes these records.
-	txn := wire.Txn{Compares: []wire.Compare{o.fence()}}
-	for _, record := range changed {
-		txn.Writes = append(txn.Writes, wire.Write{Put: record.key, Value: wire.Raw(record.value)})
+	for batch := range slices.Chunk(changed, o.controller.summaryRecordsPerTxn()) {
+		if _, err := o.controller.store.Commit(ctx, newSummaryTxn(o.fence(), batch)); err != nil {
+			slog.Debug("writing partition summary failed", "partition", o.index, "err", err)
+			return
+		}
+		o.summary.markWritten(batch)
 	}
-	if _, err := o.controller.store.Commit(ctx, txn); err != nil {
-		slog.Debug("writing partition summary failed", "partition", o.index, "err", err)
-		return
+}
+
+// newSummaryTxn returns the transaction that writes records of a partition's summary. The fence, a
+// condition on the partition's key, is enough, because only the partition's owner writes them.
+func newSummaryTxn(fence wire.Compare, batch []encodedRecord) wire.Txn {
+	txn := wire.Txn{Compares: []wire.Compare{fence}}
+	for _, record := range batch {
+		txn.Writes = append(txn.Writes, wire.Write{Put: record.key, Value: wire.Raw(record.value)})
 	}
-	o.summary.markWritten(changed)
+	return txn
+}
+
+// summaryRecordsPerTxn returns how many records of a summary one transaction can write.
+func (c *Controller) summaryRecordsPerTxn() int {
+	return min(c.limits.MaxTxnWrites, valuesPerTxn(records.MaxValueBytes(c.limits.MaxValueKiB)))
 }
 
 // summaryRecords returns the records that make up the partition's summary, by key: the summary
--- a/internal/controller/summary_writer_test.go
+++ b/internal/controller/summary_writer_test.go
@@ -1,8 +1,14 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+
+	"ambersill/internal/config"
+	"ambersill/internal/emulator"
+	"ambersill/internal/records"
+	"ambersill/internal/wire"
 )
 
 // recordsPerCommit is the limit that the tests pass to changedRecords.
@@ -38,3 +44,28 @@
 		t.Errorf("keys after a change of one record %v, want only its key", got)
 	}
 }
+
+// Guards against a summary that is never written: the digests of some 4,500 machines did not fit
+// into one transaction, which the key-value store rejected each time.
+func TestSummaryOfManyMachinesFitsIntoTransactions(t *testing.T) {
+	controller := &Controller{limits: config.StoreLimits{MaxValueKiB: 16, MaxTxnWrites: 24}}
+	summary := records.PartitionSummary{MachineDigests: map[string]records.MachineDigest{}}
+	for i := range 6000 {
+		summary.MachineDigests[fmt.Sprintf("m-%06d", i)] = records.DigestReporting
+	}
+	values := map[string]any{}
+	for i, digests := range summary.SplitMachineDigests(controller.limits.MaxValueKiB) {
+		values[records.MachineDigestsKey(0, i)] = digests
+	}
+	writer := newSummaryWriter()
+	changed := writer.changedRecords(values, len(values))
+	for batch := range slices.Chunk(changed, controller.summaryRecordsPerTxn()) {
+		encoded, err := wire.Marshal(newSummaryTxn(wire.Compare{Key: records.PartitionKey(0), Revision: 1}, batch))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size, err := emulator.JSONSize(encoded); err != nil || size > wire.MaxBodyBytes {
+			t.Errorf("transaction with %d records: got %d bytes, error %v, want at most %d bytes", len(batch), size, err, wire.MaxBodyBytes)
+		}
+	}
+}
