Summaries: the demand of a team's waiting jobs together stays within its limit

What callers saw: nothing; machines were rented that the team may not use, and returned empty. Cause: each waiting job was compared with the limit by itself. Why the fix works: the demand of a job counts as allocated for the jobs after it. Jobs with other constraints on their machines are compared apart, since the older one may wait for ever.

The first test before the fix (the second guards against a stricter fix):

--- FAIL: TestWaitingJobsTogetherStayWithinTeamLimit summary_test.go:39: demands of waiting gangs with 4 CPUs each: got 5, want 2

--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -166,20 +166,60 @@
 	l.demands = append(l.demands, demand)
 }
 
+// machineConstraints are the constraints of a job on its machines.
+type machineConstraints struct {
+	machineTypes string
+	zone         string
+	allowSpot    bool
+	needsGPUs    bool
+}
+
+// teamLimits compares a team's waiting jobs with its limit as if the jobs before them had been placed.
+// Jobs with other constraints do not count, since a job may wait for machines that are not available.
+type teamLimits struct {
+	team       *quota.Team
+	byMachines map[machineConstraints]*quota.Team
+}
+
+// of returns the team with the demand of the earlier jobs that have the same constraints as the job.
+func (l *teamLimits) of(job *Job) *quota.Team {
+	constraints := machineConstraints{
+		machineTypes: fmt.Sprint(job.MachineTypes),
+		zone:         job.Zone,
+		allowSpot:    job.AllowSpot,
+		needsGPUs:    job.GPUs > 0,
+	}
+	if l.byMachines[constraints] == nil {
+		team := *l.team
+		l.byMachines[constraints] = &team
+	}
+	return l.byMachines[constraints]
+}
+
 // unplacedDemand returns the demand of the tasks that are not placed, in scheduling order, as far
 // as it fits into a summary.
 func (p *Partition) unplacedDemand(now time.Time) []records.Demand {
 	list := demandList{remainingBytes: maxDemandBytes, indexByKey: map[demandKey]int{}}
 	for _, queue := range p.buildQueues(now) {
+		limits := teamLimits{team: queue.team, byMachines: map[machineConstraints]*quota.Team{}}
 		for _, job := range queue.jobs {
-			if count := p.unplacedTaskCount(job, queue.team, now); count > 0 {
-				list.add(job, newDemand(job, count))
-			}
+			p.addDemand(&list, job, &limits, now)
 		}
 	}
 	return list.demands
 }
 
+// addDemand adds the demand of a job's tasks that are not placed to the list.
+func (p *Partition) addDemand(list *demandList, job *Job, limits *teamLimits, now time.Time) {
+	team := limits.of(job)
+	count := p.unplacedTaskCount(job, team, now)
+	if count == 0 {
+		return
+	}
+	list.add(job, newDemand(job, count))
+	team.Allocated = team.Allocated.Add(resource.TaskRequest(job.Job).Scale(count))
+}
+
 // unplacedTaskCount returns the number of a job's waiting tasks for which machines are needed.
 func (p *Partition) unplacedTaskCount(job *Job, team *quota.Team, now time.Time) int {
 	if job.preemption.inProgress && now.Sub(job.preemption.lastPreemptedAt).Seconds() < p.tuning.PreemptGapS {
--- a/internal/scheduler/summary_test.go
+++ b/internal/scheduler/summary_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"ambersill/internal/records"
+	"ambersill/internal/wire"
 )
 
 // A machine that has sent no heartbeat since the partition's owner changed is marked as never
@@ -22,3 +24,33 @@
 		t.Errorf("machine digests after 1 min: got %v, want only m-1 marked as never reported", summary.MachineDigests)
 	}
 }
+
+// Guards against machines that are rented for work that a team's limit does not allow: each waiting
+// job was compared with the limit by itself, and not together with those before it.
+func TestWaitingJobsTogetherStayWithinTeamLimit(t *testing.T) {
+	harness := newPartitionHarness()
+	for i := range 5 {
+		job := newArrayJob(fmt.Sprintf("req-%d", i), 1, 4)
+		job.Shape = wire.GangJob
+		job.Team = "limited" // to 10 CPUs
+		harness.addJob(job)
+	}
+	if waiting := harness.Summary(harness.now).Waiting; len(waiting) != 2 {
+		t.Errorf("demands of waiting gangs with 4 CPUs each: got %d, want 2", len(waiting))
+	}
+}
+
+// Guards against a job that is not rented for because an older one of its team waits for machines
+// that are not available.
+func TestWaitingJobDoesNotHideJobsForOtherMachines(t *testing.T) {
+	harness := newPartitionHarness()
+	for i, machineType := range []string{"gpu", "cpu"} {
+		job := newArrayJob(fmt.Sprintf("req-%d", i), 1, 8)
+		job.Team = "limited" // to 10 CPUs
+		job.MachineTypes = []string{machineType}
+		harness.addJob(job)
+	}
+	if waiting := harness.Summary(harness.now).Waiting; len(waiting) != 2 {
+		t.Errorf("demands of two jobs for different machines: got %d, want 2", len(waiting))
+	}
+}
