Summaries: a team's backlog does not hide the demand of other teams

What callers saw: no machines are rented for a team's jobs while a team before it in the alphabet has a backlog of more than some 90 different demands. Cause: the demand in a summary is limited in size and listed team by team. Why the fix works: the teams' jobs are listed in turn, so that each team has its share of the room. What is left out is logged now.

The test before the fix:

--- FAIL: TestLargeBacklogDoesNotHideOtherTeams summary_test.go:81: demands of team sure: got 0 of 94, want at least 47

--- a/internal/controller/summary_writer.go
+++ b/internal/controller/summary_writer.go
@@ -101,6 +101,9 @@
 	o.mu.Lock()
 	summary := o.partition.Summary(time.Now())
 	o.mu.Unlock()
+	if summary.OmittedTasks > 0 {
+		slog.Debug("demand omitted from partition summary", "partition", o.index, "tasks", summary.OmittedTasks)
+	}
 	maxValueKiB := o.controller.limits.MaxValueKiB
 	values := map[string]any{}
 	digests := summary.SplitMachineDigests(maxValueKiB)
--- a/internal/records/summary.go
+++ b/internal/records/summary.go
@@ -18,6 +18,9 @@
 	AllocatedOnDemand map[string]float64 `cbor:"firm"`
 	// Waiting is the demand of tasks for which there is no capacity.
 	Waiting []Demand `cbor:"waiting"`
+	// OmittedTasks is the number of waiting tasks whose demand does not fit into the summary. It is
+	// only logged.
+	OmittedTasks int `cbor:"-"`
 	// MachineDigests contains the digests with at least one flag set, by machine ID. They are
 	// stored in separate records, since their number is not bounded.
 	MachineDigests map[string]MachineDigest `cbor:"-"`
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -33,7 +33,8 @@
 	}
 	roundAllocated(summary.AllocatedMachines)
 	roundAllocated(summary.AllocatedOnDemand)
-	summary.Waiting = p.unplacedDemand(now)
+	waiting := p.unplacedDemand(now)
+	summary.Waiting, summary.OmittedTasks = waiting.demands, waiting.omittedTasks
 	return summary
 }
 
@@ -143,6 +144,7 @@
 // demandList collects demands up to a total size in bytes, and merges those with the same key.
 type demandList struct {
 	demands        []records.Demand
+	omittedTasks   int // tasks of the demands for which too few bytes remained
 	remainingBytes int
 	indexByKey     map[demandKey]int
 }
@@ -157,6 +159,7 @@
 	}
 	size := demand.SizeBound()
 	if size > l.remainingBytes {
+		l.omittedTasks += demand.Tasks
 		return
 	}
 	l.remainingBytes -= size
@@ -196,17 +199,25 @@
 	return l.byMachines[constraints]
 }
 
-// unplacedDemand returns the demand of the tasks that are not placed, in scheduling order, as far
-// as it fits into a summary.
-func (p *Partition) unplacedDemand(now time.Time) []records.Demand {
+// unplacedDemand returns the demand of the tasks that are not placed, as far as it fits into a
+// summary. The teams' jobs are taken in turn, those of a team in scheduling order.
+func (p *Partition) unplacedDemand(now time.Time) demandList {
 	list := demandList{remainingBytes: maxDemandBytes, indexByKey: map[demandKey]int{}}
-	for _, queue := range p.buildQueues(now) {
-		limits := teamLimits{team: queue.team, byMachines: map[machineConstraints]*quota.Team{}}
-		for _, job := range queue.jobs {
-			p.addDemand(&list, job, &limits, now)
+	queues := p.buildQueues(now)
+	limits := make([]teamLimits, len(queues))
+	longest := 0
+	for i, queue := range queues {
+		limits[i] = teamLimits{team: queue.team, byMachines: map[machineConstraints]*quota.Team{}}
+		longest = max(longest, len(queue.jobs))
+	}
+	for position := range longest {
+		for i, queue := range queues {
+			if position < len(queue.jobs) {
+				p.addDemand(&list, queue.jobs[position], &limits[i], now)
+			}
 		}
 	}
-	return list.demands
+	return list
 }
 
 // addDemand adds the demand of a job's tasks that are not placed to the list.
--- a/internal/scheduler/summary_test.go
+++ b/internal/scheduler/summary_test.go
@@ -54,3 +54,31 @@
 		t.Errorf("demands of two jobs for different machines: got %d, want 2", len(waiting))
 	}
 }
+
+// Guards against a team for whose work no machines are rented while another team has a large backlog:
+// teams were listed one after the other by name, as far as the summary had room.
+func TestLargeBacklogDoesNotHideOtherTeams(t *testing.T) {
+	harness := newPartitionHarness()
+	cpusByTeam := map[string]float64{"free": 1, "sure": 2}
+	for i := range 200 {
+		for team, cpus := range cpusByTeam {
+			job := newArrayJob(fmt.Sprintf("req-%s-%d", team, i), 1, cpus)
+			job.Shape = wire.GangJob
+			job.Team = team
+			harness.addJob(job)
+		}
+	}
+	demandsByCPUs := map[float64]int{}
+	summary := harness.Summary(harness.now)
+	for _, demand := range summary.Waiting {
+		demandsByCPUs[demand.CPUs]++
+	}
+	if summary.OmittedTasks == 0 {
+		t.Error("omitted tasks: got 0, want a backlog that does not fit into the summary")
+	}
+	for team, cpus := range cpusByTeam {
+		if share := len(summary.Waiting) / len(cpusByTeam); demandsByCPUs[cpus] < share {
+			t.Errorf("demands of team %s: got %d of %d, want at least %d", team, demandsByCPUs[cpus], len(summary.Waiting), share)
+		}
+	}
+}
