Summaries: the leader learns of the whole backlog, not of 90 demands

Cause: the demand in a summary was limited to 12 KiB, so that the target was machines plus the units of the first 90 waiting demands. While machines for these booted, nothing else was rented.

Why the fix works: the limit follows from what the store lets an owner write, twice in a round of the leader, up to 256 KiB, some 1,700 different demands.

The tests before the fix:

--- FAIL: TestSummaryHasDemandOfAllWaitingGangs summary_test.go: waiting tasks in the summary: got 188, want 500 --- FAIL: TestBacklogOfManyGangsIsRentedForAtOnce large_fleet_test.go: machines that have booted: got 89, want at least 160 (the second with 160 gangs; it has 120 now, to take less time)

--- a/internal/controller/large_fleet_test.go
+++ b/internal/controller/large_fleet_test.go
@@ -109,6 +109,25 @@
 	})
 }
 
+// Guards against a fleet that grows slowly beside a large backlog: machines were rented for some 80
+// of the waiting gangs only, and for others once these machines had booted.
+func TestBacklogOfManyGangsIsRentedForAtOnce(t *testing.T) {
+	if runInChildProcess(t) {
+		return
+	}
+	const gangs = 120 // of one task, which needs a machine of its own
+	simulateWithCapacity(t, 12, gangs, func(cluster *simulatedCluster) {
+		for n := range gangs {
+			cluster.submit(newArrayJob(n, 1, 8, 40, asGang, onSmallMachines), 0)
+		}
+		time.Sleep(35 * time.Second) // a machine boots in 20 s
+		if machines := len(cluster.cloud.Workers()); machines < gangs {
+			t.Errorf("machines that have booted: got %d, want at least %d", machines, gangs)
+		}
+		cluster.waitForJobsAndCheck(10 * time.Minute)
+	})
+}
+
 // The records of finished jobs are kept forever, so a failover must not read them.
 func TestFailoverReadsNoFinishedJobs(t *testing.T) {
 	if runInChildProcess(t) {
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -16,9 +16,10 @@
 	// allocated capacity. Rounding keeps the record small and makes sums that differ only by
 	// rounding errors equal.
 	allocatedStepsPerMachine = 1000
-	// maxDemandBytes limits the size of the waiting tasks' demand in a summary, which the leader
-	// reads every second. The tasks that are scheduled first are included.
-	maxDemandBytes = 12 << 10
+	// minDemandBytes is the size that the waiting tasks' demand in a summary may always have.
+	minDemandBytes = 12 << 10
+	// maxDemandBytes is the maximum size of that demand, which the leader reads every SummaryS.
+	maxDemandBytes = 256 << 10
 )
 
 // Summary returns the partition's state from which the leader computes the fleet size.
@@ -199,10 +200,18 @@
 	return l.byMachines[constraints]
 }
 
+// demandBytesLimit returns the maximum size of the waiting tasks' demand in a summary. Within the
+// key-value store's rate limit, it can be written twice in each round of the leader.
+func (p *Partition) demandBytesLimit() int {
+	writesPerRound := tuning.SummaryWriteFraction * p.layout.limits.WritesPerS * p.tuning.RoundS
+	bytes := int(writesPerRound/2) * p.layout.maxValueBytes()
+	return min(max(minDemandBytes, bytes), maxDemandBytes)
+}
+
 // unplacedDemand returns the demand of the tasks that are not placed, as far as it fits into a
 // summary. The teams' jobs are taken in turn, those of a team in scheduling order.
 func (p *Partition) unplacedDemand(now time.Time) demandList {
-	list := demandList{remainingBytes: maxDemandBytes, indexByKey: map[demandKey]int{}}
+	list := demandList{remainingBytes: p.demandBytesLimit(), indexByKey: map[demandKey]int{}}
 	queues := p.buildQueues(now)
 	limits := make([]teamLimits, len(queues))
 	longest := 0
--- a/internal/scheduler/summary_test.go
+++ b/internal/scheduler/summary_test.go
@@ -82,3 +82,23 @@
 		}
 	}
 }
+
+// Guards against a fleet that grows slowly beside a large backlog: the demand of most waiting gangs
+// was left out of the summary.
+func TestSummaryHasDemandOfAllWaitingGangs(t *testing.T) {
+	const gangs = 250
+	harness := newPartitionHarness()
+	harness.layout.limits.WritesPerS = 50
+	for i := range gangs {
+		job := newArrayJob(fmt.Sprintf("req-%d", i), 2, 4)
+		job.Shape = wire.GangJob
+		harness.addJob(job)
+	}
+	tasks := 0
+	for _, demand := range harness.Summary(harness.now).Waiting {
+		tasks += demand.Tasks
+	}
+	if want := 2 * gangs; tasks != want {
+		t.Errorf("waiting tasks in the summary: got %d, want %d", tasks, want)
+	}
+}
