Summaries: a large waiting gang does not hide smaller ones of its team

A large gang that the cloud has no machines for would take up the limit, and none would be rented for smaller gangs. Gangs of another size are compared apart now.

The test before the fix:

--- FAIL: TestWaitingGangDoesNotHideSmallerGangs demand_test.go: demands of a gang with 8 CPUs and one with 4: got 1, want 2

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -76,16 +76,17 @@
 	l.demands = append(l.demands, demand)
 }
 
-// machineConstraints are the constraints of a job on its machines.
+// machineConstraints are the constraints of a job on the machines of its tasks.
 type machineConstraints struct {
 	machineTypes string
 	zone         string
 	allowSpot    bool
 	needsGPUs    bool
+	gangTasks    int // the number of tasks that start together; 0 if the job is no gang
 }
 
 // teamLimits compares a team's waiting jobs with its limit as if the jobs before them had been placed.
-// Jobs with other constraints do not count, since a job may wait for machines that are not available.
+// Jobs with other constraints do not count: they may wait for machines that are not available.
 type teamLimits struct {
 	team       *quota.Team
 	byMachines map[machineConstraints]*quota.Team
@@ -99,6 +100,9 @@
 		allowSpot:    job.AllowSpot,
 		needsGPUs:    job.GPUs > 0,
 	}
+	if job.IsGang() {
+		constraints.gangTasks = job.TaskCount
+	}
 	if l.byMachines[constraints] == nil {
 		team := *l.team
 		l.byMachines[constraints] = &team
--- a/internal/scheduler/demand_test.go
+++ b/internal/scheduler/demand_test.go
@@ -37,6 +37,21 @@
 	}
 }
 
+// Guards against small gangs that are not rented for because an older, large one of their team waits
+// for more machines than are available.
+func TestWaitingGangDoesNotHideSmallerGangs(t *testing.T) {
+	harness := newPartitionHarness()
+	for i, tasks := range []int{2, 1} {
+		job := newArrayJob(fmt.Sprintf("req-%d", i), tasks, 4)
+		job.Shape = wire.GangJob
+		job.Team = "limited" // to 10 CPUs
+		harness.addJob(job)
+	}
+	if waiting := harness.Summary(harness.now).Waiting; len(waiting) != 2 {
+		t.Errorf("demands of a gang with 8 CPUs and one with 4: got %d, want 2", len(waiting))
+	}
+}
+
 // Guards against a team for whose work no machines are rented while another team has a large backlog:
 // teams were listed one after the other by name, as far as the summary had room.
 func TestLargeBacklogDoesNotHideOtherTeams(t *testing.T) {
