Emulator: a heartbeat handled as its fault ends is replayed again

The copy is taken just before the replay now, under the lock.

The test before the fix:

--- FAIL: TestReplayIncludesHeartbeatHandledAsFaultEnds fault_injector_test.go:108: replays of the heartbeat: got 0, want 6

--- a/internal/emulator/fault_heartbeats.go
+++ b/internal/emulator/fault_heartbeats.go
@@ -53,13 +53,13 @@
 			sendFuncs[heartbeat.Machine] = send
 		}
 	})
-	f.mu.Lock()
-	recorded := maps.Clone(sendFuncs) // a heartbeat that is handled just now may still be added
-	f.mu.Unlock()
 	if !f.waitForNextOwner(ctx, revision) {
 		return
 	}
 	transport.Pause(ctx, fault.Delay)
+	f.mu.Lock()
+	recorded := maps.Clone(sendFuncs) // with those that were still being handled as the fault ended
+	f.mu.Unlock()
 	for range replayCount {
 		if ctx.Err() != nil {
 			return
--- a/internal/emulator/fault_injector_test.go
+++ b/internal/emulator/fault_injector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +87,29 @@
 	})
 }
 
+// Guards against a heartbeat that is recorded but not replayed, because it was still being handled
+// when its fault ended.
+func TestReplayIncludesHeartbeatHandledAsFaultEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		injector := newTestInjector()
+		var revision atomic.Uint64
+		injector.FirstPartitionOwner = func() (int, uint64) { return 0, revision.Load() }
+		go injector.Run(t.Context(), Fault{ActiveFor: time.Second, Kind: HeartbeatsForNextOwner, Delay: time.Second})
+		synctest.Wait()
+		handlers := injector.heartbeatFaults.functions()
+		time.Sleep(2 * time.Second)
+		var replayed atomic.Int64
+		for _, handle := range handlers {
+			handle(&wire.Heartbeat{Machine: "m-1"}, func(Node) { replayed.Add(1) })
+		}
+		revision.Add(1)
+		time.Sleep(time.Minute)
+		if got := replayed.Load(); got != replayCount {
+			t.Errorf("replays of the heartbeat: got %d, want %d", got, replayCount)
+		}
+	})
+}
+
 // Guards against faults without effect: the end of the first of two overlapping faults of the same
 // kind also ended the second.
 func TestOverlappingFaultsOfOneKindEndSeparately(t *testing.T) {
