Emulator: a refused request counts for one of two overlapping faults only

Each refused request counts once now.

The test before the fix:

--- FAIL: TestRefusedRequestsOfOverlappingFaultsCountOnce fault_injector_test.go:137: refused requests: got 17, want 15

--- a/internal/emulator/fault_injector.go
+++ b/internal/emulator/fault_injector.go
@@ -41,6 +41,7 @@
 
 	mu              sync.Mutex
 	injectedCounts  map[FaultKind]int
+	countedRefusals map[string]int // refused requests in injectedCounts, by host that is refused now
 	commitFaults    activeFaults[commitFaultFunc]
 	heartbeatFaults activeFaults[heartbeatFunc]
 	switches        overlappingSettings[bool]
--- a/internal/emulator/fault_injector_test.go
+++ b/internal/emulator/fault_injector_test.go
@@ -110,6 +110,35 @@
 	})
 }
 
+// Guards against a scenario that counts a refused request for each of two overlapping faults, and so
+// seems to have had more effect than it had.
+func TestRefusedRequestsOfOverlappingFaultsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		injector := newTestInjector()
+		refuseRequests := func(count int) {
+			synctest.Wait()
+			injector.withStoreLock(func() { injector.Store.faults.refusedRequests[testHost] += count })
+		}
+		fault := Fault{ActiveFor: 10 * time.Second, Kind: StoreRefusesNode, Nodes: []int{0}}
+		second, third := fault, fault
+		second.Start = 5 * time.Second
+		third.Start = 20 * time.Second
+		go injector.Run(t.Context(), fault, second, third)
+		time.Sleep(time.Second)
+		refuseRequests(1)
+		time.Sleep(6 * time.Second) // both faults are active
+		refuseRequests(2)
+		time.Sleep(6 * time.Second) // only the second one is
+		refuseRequests(4)
+		time.Sleep(9 * time.Second) // only the third one is
+		refuseRequests(8)
+		time.Sleep(time.Minute)
+		if got, want := injector.InjectedCount(StoreRefusesNode), 1+2+4+8; got != want {
+			t.Errorf("refused requests: got %d, want %d", got, want)
+		}
+	})
+}
+
 // Guards against faults without effect: the end of the first of two overlapping faults of the same
 // kind also ended the second.
 func TestOverlappingFaultsOfOneKindEndSeparately(t *testing.T) {
@@ -186,6 +215,13 @@
 	read()
 }
 
+// withStoreLock calls change while it holds the lock of the key-value store.
+func (f *FaultInjector) withStoreLock(change func()) {
+	f.Store.mu.Lock()
+	defer f.Store.mu.Unlock()
+	change()
+}
+
 // newInjectorWithWorker returns an injector whose cloud has one machine with one task.
 func newInjectorWithWorker() (*FaultInjector, *Worker) {
 	injector := newTestInjector()
--- a/internal/emulator/fault_store.go
+++ b/internal/emulator/fault_store.go
@@ -18,11 +18,9 @@
 	var ends []func()
 	for _, node := range fault.Nodes {
 		name := f.Nodes[node].Name
-		refuse := func(on bool) { f.Store.RefuseHost(name, on) }
-		end := f.switches.begin(settingKey{kind: fault.Kind, target: name}, true, refuse)
-		before := f.Store.RefusedRequests(name)
+		end := f.switches.begin(settingKey{kind: fault.Kind, target: name}, true, func(on bool) { f.refuseHost(name, on) })
 		ends = append(ends, func() {
-			f.countInjected(fault.Kind, f.Store.RefusedRequests(name)-before)
+			f.countRefusedRequests(fault.Kind, name)
 			end()
 		})
 	}
@@ -30,6 +28,32 @@
 	callAll(ends)
 }
 
+// refuseHost starts or stops refusing the requests of a host. The key-value store counts the refused
+// ones from 0 when it starts again.
+func (f *FaultInjector) refuseHost(host string, refuse bool) {
+	f.Store.RefuseHost(host, refuse)
+	if refuse {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.countedRefusals, host)
+}
+
+// countRefusedRequests counts the requests of a host that were refused and not counted yet. Faults
+// that refuse the same host may overlap.
+func (f *FaultInjector) countRefusedRequests(kind FaultKind, host string) {
+	refused := f.Store.RefusedRequests(host)
+	f.mu.Lock()
+	uncounted := refused - f.countedRefusals[host]
+	if f.countedRefusals == nil {
+		f.countedRefusals = map[string]int{}
+	}
+	f.countedRefusals[host] = refused
+	f.mu.Unlock()
+	f.countInjected(kind, uncounted)
+}
+
 // delayCommits makes commits execute late and leaves them unanswered.
 func (f *FaultInjector) delayCommits(ctx context.Context, fault Fault) {
 	f.injectCommitFault(ctx, fault, func() (RequestFault, time.Duration) {
--- a/internal/emulator/worker_tasks.go
+++ b/internal/emulator/worker_tasks.go
@@ -34,8 +34,8 @@
 // goroutine, because the caller holds the simulation's lock.
 const minTimerDelay = time.Millisecond
 
-// dropTasks removes all tasks and refused starts for the given reason, without reporting them. The simulation's lock
-// must be held.
+// dropTasks removes all tasks and refused starts for the given reason, without reporting them. The
+// simulation's lock must be held.
 func (w *Worker) dropTasks(reason string) {
 	for _, t := range w.tasks {
 		t.cancelTimer()
