--- a/internal/docs/known_red_test.go
+++ b/internal/docs/known_red_test.go
@@ -66,6 +66,8 @@
 
 func TestFails(t *testing.T) { t.Fail() }
 
+func TestSkips(t *testing.T) { t.Skip() }
+
 func TestSeeds(t *testing.T) {
 	seeds := 2
 	if value, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
@@ -104,6 +106,7 @@
 		{"TestFails", "KNOWN RED, see KNOWN-RED.txt: TestFails", false},
 		{"TestSeeds/1", "KNOWN RED, see KNOWN-RED.txt: TestSeeds/1", false},
 		{"TestSeeds/5", "known red, passed this time: TestSeeds/5", false},
+		{"TestSkips", "KNOWN-RED.txt: TestSkips was skipped", true},
 		{"TestPass", "KNOWN-RED.txt: no test has the name TestPass", true},
 		{"TestPasses/1", "KNOWN-RED.txt: no test has the name TestPasses/1", true},
 	} {
