--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -57,7 +57,7 @@
 	startedAttempts map[taskAttempt]bool         // attempts that have started at least once
 	completedTasks  map[string]bool              // tasks that have completed, by task name
 	gangProgress    map[string]time.Duration     // saved progress of gangs, by job ID
-	taskEvents      []taskEvent                  // in the order in which they happened
+	jobEvents       []jobEvent                   // in the order in which they happened
 
 	violations             []string
 	startCount             int
--- a/internal/emulator/user.go
+++ b/internal/emulator/user.go
@@ -94,7 +94,7 @@
 func (s *session) submit(ctx context.Context) bool {
 	for ctx.Err() == nil && time.Since(s.startedAt) <= submitRetryLimit {
 		sent := time.Now()
-		answer, status := s.send(ctx, s.client, s.PickNode(), http.MethodPost, "/work", s.submission, submitTimeout)
+		answer, status := s.sendChange(ctx, "/work", s.submission)
 		switch status {
 		case http.StatusCreated, http.StatusOK:
 			s.recordNewPhase(ctx, s.job.ID, s.submission, answer.Phase, sent)
@@ -121,7 +121,15 @@
 }
 
 func (s *session) requestCancellation(ctx context.Context) (wire.JobStatus, int) {
-	return s.send(ctx, s.client, s.PickNode(), http.MethodPost, "/work/"+s.job.ID+"/withdraw", nil, submitTimeout)
+	return s.sendChange(ctx, "/work/"+s.job.ID+"/withdraw", nil)
+}
+
+// sendChange sends a request that changes the job to a node, and records it in the job's trace.
+func (s *session) sendChange(ctx context.Context, path string, body any) (wire.JobStatus, int) {
+	node, sent := s.PickNode(), time.Now()
+	answer, status := s.send(ctx, s.client, node, http.MethodPost, path, body, submitTimeout)
+	s.Simulation.traceRequest(s.job.ID, node, path, status, sent)
+	return answer, status
 }
 
 // poll requests the job's status once, and returns its phase, or "" if the request failed.
