review: an accepted job is refused with 400 after a change of settings

A script plays it: the job is accepted, the controllers are restarted with settings that announce a smaller value size, and the repeated submission is answered 400.

--- /dev/null
+++ b/review/standin/limits.go
@@ -0,0 +1,111 @@
+//go:build review
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"ambersill/internal/config"
+	"ambersill/internal/emulator"
+	"ambersill/internal/records"
+	"ambersill/internal/transport"
+	"ambersill/internal/wire"
+)
+
+// announced are the limits that Prairie's settings announce with the upgrade.
+var announced = config.StoreLimits{RequestsPerS: 250, WritesPerS: 70, MaxValueKiB: 2, MaxTxnWrites: 8}
+
+// variants is the number of further machine types in the catalog, of which the cloud has no machine.
+const variants = 32
+
+// manyTypes returns the small deployment with further machine types, which cost more than bison.
+func manyTypes(machines int) deployment {
+	d := prairie(machines)
+	for i := range variants {
+		variant := bison
+		variant.Name = fmt.Sprintf("bison-16c-2g-64gb-generation-%02d", i)
+		variant.HourlyPrice, variant.HourlySpotPrice = 11, 4
+		d.types = append(d.types, variant)
+	}
+	return d
+}
+
+// longJob returns an array of one task with a long description: it names its image by path and digest
+// and lists all machine types.
+func longJob(id string, d deployment) *wire.Job {
+	job := photoTagging(id)
+	job.TaskCount = 1
+	job.AllowSpot = false
+	job.Image = "images.prairiecraft.example/loom-vision/listing-photos/tagging/pipelines/nightly/" +
+		"photo-tagging-with-seasonal-categories@sha256:" + strings.Repeat("0123456789abcdef", 4)
+	for _, machineType := range d.types {
+		job.MachineTypes = append(job.MachineTypes, machineType.Name)
+	}
+	return job
+}
+
+// logSize records how long a job's description is as the store measures it.
+func (r *rig) logSize(job *wire.Job) {
+	record, err := wire.Marshal(records.JobRecord{Job: job, Phase: wire.JobDone, SubmittedAtMS: time.Now().UnixMilli()})
+	if err == nil {
+		size, _ := emulator.JSONSize(record)
+		r.logf("user: the description of %s with its phase is %d bytes as JSON", job.ID, size)
+	}
+}
+
+// upgrade ends the controllers one after the other and starts them again with settings that announce
+// the new limits.
+func (r *rig) upgrade(ctx context.Context) error {
+	for i := range r.settings {
+		r.settings[i].Cluster.Store.Announced = &announced
+		controller := r.controllers[i]
+		_ = controller.Process.Kill()
+		_ = controller.Wait()
+		r.logf("platform: controller %s is killed", r.settings[i].Node)
+		transport.Pause(ctx, 200*time.Millisecond)
+		started := len(r.controllers)
+		if err := r.startController(&r.settings[i]); err != nil {
+			return err
+		}
+		r.controllers[i] = r.controllers[started]
+		r.controllers = r.controllers[:started]
+		if err := r.awaitHealthy(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// longJobAcceptedBefore: a job with a long description is accepted; the controllers are restarted with
+// settings that announce a smaller value size; the submission is repeated.
+func longJobAcceptedBefore(ctx context.Context, r *rig, trouble bool) error {
+	d := manyTypes(2)
+	if err := r.run(ctx, d); err != nil {
+		return err
+	}
+	job := longJob("req-000501", d)
+	r.logSize(job)
+	if err := r.submit(ctx, job); err != nil {
+		return err
+	}
+	if err := r.awaitTasks(ctx, job, 1); err != nil {
+		return err
+	}
+	if trouble {
+		if err := r.upgrade(ctx); err != nil {
+			return err
+		}
+	}
+	for range 10 {
+		_, status := r.send(ctx, http.MethodPost, "/work", job, submitTimeout)
+		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
+			return fmt.Errorf("%w: the repeated submission of %s, which is accepted, was answered %d", errBroken, job.ID, status)
+		}
+		transport.Pause(ctx, retryPause)
+	}
+	return nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func(ctx context.Context, r *rig, trouble bool) error{
 	"gang-after-failed-task":    gangAfterFailedTask,
 	"job-behind-lapsed-reserve": jobBehindLapsedReserve,
+	"long-job-accepted-before":  longJobAcceptedBefore,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -44,6 +44,7 @@
 	cloud       *cloud
 	servers     []*http.Server
 	nodes       []emulator.Node
+	settings    []config.Settings // of the controllers
 	controllers []*exec.Cmd
 	nextNode    int
 }
@@ -186,6 +187,7 @@
 			return err
 		}
 	}
+	r.settings = settings
 	return r.awaitHealthy(ctx)
 }
 
@@ -231,7 +233,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(r.folder, settings.Node+".log"))
+	logFile, err := os.OpenFile(filepath.Join(r.folder, settings.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
