--- a/review/standin/waiting.go
+++ b/review/standin/waiting.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// room returns the machines that are up and have room for a number of tasks of a job, and whether
-// they have room for all of them together.
+// room returns the machines that are up and have room for tasks of a job, with the session of their
+// workers, and whether they have room for all tasks of a gang or for one of another job.
 func (r *rig) room(job *wire.Job, running map[string][]*wire.Job) (names []string, all bool) {
 	tasks := 0
 	for _, m := range r.cloud.up() {
@@ -104,7 +104,7 @@
 			fit++
 		}
 		if fit > 0 {
-			names = append(names, fmt.Sprintf("%s (%d tasks)", m.ID, fit))
+			names = append(names, fmt.Sprintf("%s (%d tasks, session %d)", m.ID, fit, m.worker.Incarnation()))
 		}
 		tasks += fit
 	}
@@ -171,7 +171,10 @@
 		}
 		r.logf("machines: all are well again; the troubles are over")
 	}
-	return r.judgeWaiting(ctx, job, func() map[string][]*wire.Job { return nil })
+	if err := r.judgeWaiting(ctx, job, func() map[string][]*wire.Job { return nil }); err != nil {
+		return err
+	}
+	return r.awaitPhase(ctx, job.ID, 30*time.Second, wire.JobDone)
 }
 
 // failTasksOnFirstMachine makes the first machine fail all tasks from the moment at which it is up.
