--- a/review/standin/limits.go
+++ b/review/standin/limits.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -57,15 +59,39 @@
 	}
 }
 
-// upgrade ends the controllers one after the other and starts them again with settings that announce
-// the new limits.
-func (r *rig) upgrade(ctx context.Context) error {
+// productionProgram is the version in production, as review/build.sh builds it from the history.
+const productionProgram = "target/review/production"
+
+// startOld starts the controllers as they are before the upgrade, and returns the program to upgrade
+// to. They run the version in production, with settings that announce the new limits. If it could not
+// be built, they run the present version with settings that announce nothing.
+func (r *rig) startOld(ctx context.Context, d deployment) (newProgram string, err error) {
+	newProgram = r.program
+	if production, err := filepath.Abs(productionProgram); err == nil && isFile(production) {
+		r.program = production
+		d.cluster.Store.Announced = &announced
+		r.logf("platform: the controllers run the version in production; the settings announce the new limits")
+	} else {
+		r.logf("platform: the controllers run the present version; the settings announce nothing")
+	}
+	return newProgram, r.run(ctx, d)
+}
+
+func isFile(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular()
+}
+
+// upgrade ends the controllers one after the other. They come back with the new program, and with
+// settings that announce the new limits.
+func (r *rig) upgrade(ctx context.Context, newProgram string) error {
+	r.program = newProgram
 	for i := range r.settings {
 		r.settings[i].Cluster.Store.Announced = &announced
 		controller := r.controllers[i]
 		_ = controller.Process.Kill()
 		_ = controller.Wait()
-		r.logf("platform: controller %s is killed", r.settings[i].Node)
+		r.logf("platform: controller %s is killed, and comes back with the present version", r.settings[i].Node)
 		transport.Pause(ctx, 200*time.Millisecond)
 		started := len(r.controllers)
 		if err := r.startController(&r.settings[i]); err != nil {
@@ -80,11 +106,12 @@
 	return nil
 }
 
-// longJobAcceptedBefore: a job with a long description is accepted; the controllers are restarted with
-// settings that announce a smaller value size; the submission is repeated.
+// longJobAcceptedBefore: a job with a long description is accepted; the controllers are upgraded, and
+// their settings announce a smaller value size; the submission is repeated.
 func longJobAcceptedBefore(ctx context.Context, r *rig, trouble bool) error {
 	d := manyTypes(2)
-	if err := r.run(ctx, d); err != nil {
+	newProgram, err := r.startOld(ctx, d)
+	if err != nil {
 		return err
 	}
 	job := longJob("req-000501", d)
@@ -96,7 +123,7 @@
 		return err
 	}
 	if trouble {
-		if err := r.upgrade(ctx); err != nil {
+		if err := r.upgrade(ctx, newProgram); err != nil {
 			return err
 		}
 	}
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -32,7 +32,7 @@
 // rig is one small deployment: emulators, users and three controllers.
 type rig struct {
 	start   time.Time
-	program string
+	program string // that the controllers run
 	folder  string // temporary: settings and logs of the controllers
 
 	mu     sync.Mutex // guards record and jobs
