--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/ambersill ] || exit 2
-target/review/standin --case gang-after-failed-task --program target/ambersill --record "$here/record.txt"
+exec target/review/standin --case gang-after-failed-task --program target/ambersill --record "$here/record.txt"
