--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -90,6 +90,7 @@
 type world struct {
 	mu        sync.Mutex // guards jobs, machines, hires, workers and the workers' state
 	ctx       context.Context
+	store     *emulator.KeyValueStore
 	record    *os.File
 	begun     time.Time
 	nodes     []node
@@ -117,6 +118,7 @@
 	windfall bool
 	rented   time.Time
 	up       time.Time // zero until it is up
+	died     time.Time // zero until it stops by itself
 	gone     time.Time // zero until it is returned
 	address  string
 }
@@ -232,7 +234,8 @@
 
 // serveStore serves the state service: the project's own emulator of it.
 func (w *world) serveStore() (string, error) {
-	return w.serve(emulator.NewKeyValueStore().Handler())
+	w.store = emulator.NewKeyValueStore()
+	return w.serve(w.store.Handler())
 }
 
 func (w *world) serve(handler http.Handler) (string, error) {
@@ -363,6 +366,9 @@
 	respond(rw, http.StatusOK, map[string]any{})
 }
 
+// diedListedAfter is how long a machine that has died is still listed as running.
+const diedListedAfter = 30 * time.Second
+
 func (w *world) handleList(rw http.ResponseWriter, r *http.Request) {
 	since := r.URL.Query().Get("since")
 	most, err := strconv.Atoi(r.URL.Query().Get("most"))
@@ -385,6 +391,9 @@
 		if !m.up.IsZero() && m.up.Before(at) {
 			phase = "running"
 		}
+		if !m.died.IsZero() && at.Sub(m.died) > diedListedAfter {
+			phase = "failed"
+		}
 		if address == "" {
 			address = "127.0.0.1:1" // nothing listens there
 		}
