--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -187,18 +188,29 @@
 	}
 }
 
+// Free ports are looked for below those that the system gives to outgoing connections, one of which
+// could otherwise take a controller's port before it listens.
+const (
+	lowestPort  = 12000
+	highestPort = 30000
+)
+
 // freePorts returns two free loopback addresses.
 func freePorts() (string, string, error) {
-	var addresses [2]string
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var found []string
+	for len(found) < 2 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			return "", "", err
 		}
 		defer listener.Close()
-		addresses[i] = listener.Addr().String()
+		found = append(found, address)
 	}
-	return addresses[0], addresses[1], nil
+	return found[0], found[1], nil
 }
 
 func (c *cluster) waitUntilUp() error {
