--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -2,7 +2,10 @@
 
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // prairieZones are the zones of the site prairiecraft-sched, with one controller each.
 var prairieZones = []string{"regina-east", "saskatoon-north", "winnipeg-west"}
@@ -121,7 +124,17 @@
 	if err := c.waitFor("the task does not run", 30*time.Second, func() bool { return c.phaseOf(low) == "running" }); err != nil {
 		return false, err
 	}
-	sleep(c.ctx, time.Second)
+	// Four jobs of one task come within a second. The user of the last one cancels it.
+	for i := range 3 {
+		small := &job{
+			UID: fmt.Sprintf("req-%06d", 401+i), Lane: "photo-tagging", Crew: "loom-vision", Shape: "array", Rank: "standard",
+			Pieces: 1, Cores: 0.5, RamGb: 2, Pattern: "img-fraud-03", ImageGb: 1, GuessS: 1,
+		}
+		if err := c.submit(small); err != nil {
+			return false, err
+		}
+		sleep(c.ctx, 250*time.Millisecond)
+	}
 	if err := c.submit(high); err != nil {
 		return false, err
 	}
