--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of deploy/service.toml and review/build-2.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/ambersill ] && [ -x ../../target/review-2/standin2 ] || exit 2
-exec ../../target/review-2/standin2 preempted-by-cancelled-job ../../target/ambersill record.txt
+exec ../../target/review-2/standin2 field-nobody-knows ../../target/ambersill record.txt
