--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -234,6 +234,15 @@
 	Timeout:   5 * time.Second,
 }
 
+// userEncoding is the deterministic encoding of RFC 8949, which sorts a map's keys by their bytes.
+var userEncoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 type jobStatus struct {
 	UID     string `cbor:"uid"`
 	Phase   string `cbor:"phase"`
@@ -246,7 +255,7 @@
 	var body []byte
 	if message != nil {
 		var err error
-		if body, err = cbor.Marshal(message); err != nil {
+		if body, err = userEncoding.Marshal(message); err != nil {
 			return jobStatus{}, err
 		}
 	}
@@ -290,7 +299,7 @@
 
 // askOnce sends a user's request to the first controller, and returns the status of its answer.
 func (c *cluster) askOnce(method, path string, message any) (int, error) {
-	body, err := cbor.Marshal(message)
+	body, err := userEncoding.Marshal(message)
 	if err != nil {
 		return 0, err
 	}
