--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -120,12 +120,14 @@
 	if err != nil {
 		return err
 	}
+	addresses, err := freePorts(2 * len(zones))
+	if err != nil {
+		return err
+	}
 	for i, zone := range zones {
-		public, mesh, err := freePorts()
-		if err != nil {
-			return err
-		}
-		c.nodes = append(c.nodes, node{name: fmt.Sprintf("hearth-%d", i), zone: zone, public: public, mesh: mesh})
+		c.nodes = append(c.nodes, node{
+			name: fmt.Sprintf("hearth-%d", i), zone: zone, public: addresses[2*i], mesh: addresses[2*i+1],
+		})
 	}
 	c.processes = make([]*exec.Cmd, len(c.nodes))
 	for i := range c.nodes {
@@ -186,28 +188,35 @@
 }
 
 // Free ports are looked for below those that the system gives to outgoing connections, one of which
-// could otherwise take a controller's port before it listens.
+// could otherwise take a controller's port before it listens. Where the search begins depends on the
+// process, so that scripts that run side by side take different ports.
 const (
 	lowestPort  = 12000
 	highestPort = 30000
+	portsEach   = 6
 )
 
-// freePorts returns two free loopback addresses.
-func freePorts() (string, string, error) {
+// freePorts returns free loopback addresses. None of them is given out before all are found.
+func freePorts(count int) ([]string, error) {
 	var found []string
-	for len(found) < 2 {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+	port := lowestPort + os.Getpid()*portsEach%(highestPort-lowestPort)
+	for tried := 0; len(found) < count && tried < highestPort-lowestPort; tried++ {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		port = lowestPort + (port+1-lowestPort)%(highestPort-lowestPort)
 		listener, err := net.Listen("tcp", address)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
 		if err != nil {
-			return "", "", err
+			return nil, err
 		}
 		defer listener.Close()
 		found = append(found, address)
 	}
-	return found[0], found[1], nil
+	if len(found) < count {
+		return nil, fmt.Errorf("%w: no free ports", errPlay)
+	}
+	return found, nil
 }
 
 func (c *cluster) waitUntilUp() error {
