Log the revision of a summary where it is written and where it is read

The owner now logs the revision of each write of its summary, and the leader the revision and the number of waiting tasks of each summary that it has not logged before.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -98,6 +98,8 @@
 	listings  map[string]machineListing        // by machine ID
 	backoffs  map[autoscaler.Offering]offeringBackoff
 	rentals   map[string]rentalProgress // by request ID
+	// loggedSummaries is the revision of each partition's summary that was logged last.
+	loggedSummaries map[int]uint64
 
 	nextRentalNumber int // sequence number within this term
 	lastListing      time.Time
@@ -116,6 +118,8 @@
 		listings:   map[string]machineListing{},
 		backoffs:   map[autoscaler.Offering]offeringBackoff{},
 		rentals:    map[string]rentalProgress{},
+
+		loggedSummaries: map[int]uint64{},
 	}
 }
 
--- a/internal/controller/summaries.go
+++ b/internal/controller/summaries.go
@@ -17,16 +17,32 @@
 		return
 	}
 	values := make(map[string]wire.Raw, len(items))
+	revisions := make(map[string]uint64, len(items))
 	for _, item := range items {
 		values[item.Key] = item.Value
+		revisions[item.Key] = item.Revision
 	}
 	for partition := range l.controller.partitionCount {
 		if summary, ok := decodeSummary(partition, values); ok {
 			l.summaries[partition] = summary
+			l.logSummaryRead(partition, revisions[records.SummaryKey(partition)])
 		}
 	}
 }
 
+// logSummaryRead logs the summary of a partition if its own record has another revision than
+// the one that was logged last. Together with what the owner logs when it writes a summary, the
+// revision shows whether the leader sizes the fleet by the owner's latest summary.
+func (l *leader) logSummaryRead(partition int, revision uint64) {
+	if l.loggedSummaries[partition] == revision {
+		return
+	}
+	l.loggedSummaries[partition] = revision
+	summary := l.summaries[partition]
+	slog.Debug("partition summary read", "partition", partition, "revision", revision,
+		"waiting_tasks", summary.WaitingTasks(), "machines", len(summary.MachineDigests))
+}
+
 // decodeSummary combines the records of a partition's summary. It returns false if the
 // partition has no summary, or if its main record cannot be decoded.
 func decodeSummary(partition int, values map[string]wire.Raw) (records.PartitionSummary, bool) {
--- a/internal/controller/summary_writer.go
+++ b/internal/controller/summary_writer.go
@@ -72,11 +72,13 @@
 	o.summary.lastAttempt = time.Now()
 	o.summary.minInterval = o.controller.summaryInterval(len(changed))
 	for batch := range slices.Chunk(changed, o.controller.summaryRecordsPerTxn()) {
-		if _, err := o.controller.store.Commit(ctx, newSummaryTxn(o.fence(), batch)); err != nil {
+		revision, err := o.controller.store.Commit(ctx, newSummaryTxn(o.fence(), batch))
+		if err != nil {
 			slog.Debug("writing partition summary failed", "partition", o.index, "err", err)
 			return
 		}
 		o.summary.markWritten(batch)
+		slog.Debug("partition summary written", "partition", o.index, "revision", revision, "records", len(batch))
 	}
 }
 
--- a/internal/records/summary.go
+++ b/internal/records/summary.go
@@ -32,6 +32,15 @@
 	OverflowRecordCount int `cbor:"more,omitempty"`
 }
 
+// WaitingTasks returns the number of tasks in Waiting.
+func (s *PartitionSummary) WaitingTasks() int {
+	tasks := 0
+	for i := range s.Waiting {
+		tasks += s.Waiting[i].Tasks
+	}
+	return tasks
+}
+
 // MachineDigest is a set of flags that describe the state of a machine to the leader.
 type MachineDigest uint8
 
