Let the emulated store hold one commit and execute it after a newer one

The emulator's late commits come after a random time, so that a late commit which replaces a newer record is seen by whoever reads the newer one first. A test could not show what happens if nobody does.

CommitHold selects one commit by its sender, the prefix of a key and a number to skip. It gets no response, and is executed after a delay or right after the next commit that puts the same key. The cloud also counts the machines that it has rented.

--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -141,6 +141,17 @@
 	return c.refusedRentals
 }
 
+// RentedMachines returns how many machines all requests together have rented so far.
+func (c *Cloud) RentedMachines() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rented := 0
+	for _, ids := range c.rentals {
+		rented += len(ids)
+	}
+	return rented
+}
+
 // rent rents as many of the requested machines as there is capacity for, and returns their IDs, or
 // nil if there is no capacity. If machines have already been rented with the same request ID, it
 // rents none and returns the IDs of those machines.
--- a/internal/emulator/kvstore.go
+++ b/internal/emulator/kvstore.go
@@ -64,6 +64,7 @@
 	// size.
 	invalidReasons []string
 	listedKeys     int // keys returned by all listings so far
+	heldCommits    []*HeldCommit
 }
 
 // NewKeyValueStore returns an empty store.
@@ -137,6 +138,15 @@
 func (s *KeyValueStore) apply(txn *rawTxn) (status int, body any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, body = s.applyLocked(txn)
+	if status == http.StatusOK {
+		s.executeHeldAfter(txn)
+	}
+	return status, body
+}
+
+// applyLocked is apply for callers that hold the lock.
+func (s *KeyValueStore) applyLocked(txn *rawTxn) (status int, body any) {
 	s.expireLeases()
 	if status, reason := s.validate(txn); status != http.StatusOK {
 		return status, wire.ErrorResponse{Error: reason}
--- a/internal/emulator/kvstore_handlers.go
+++ b/internal/emulator/kvstore_handlers.go
@@ -132,6 +132,9 @@
 	if !readRequest(w, r, &txn) {
 		return
 	}
+	if s.holdsCommit(r.RemoteAddr, &txn) {
+		panic(http.ErrAbortHandler)
+	}
 	fault, delay := NoFault, time.Duration(0)
 	if s.ChooseFault != nil {
 		fault, delay = s.ChooseFault(r.RemoteAddr, txn.withoutValues())
