--- a/internal/records/keys.go
+++ b/internal/records/keys.go
@@ -91,6 +91,13 @@
 // SummaryKey returns the key of a partition's PartitionSummary.
 func SummaryKey(partition int) string { return SummaryPrefix + strconv.Itoa(partition) }
 
+// IsSummaryRecordKey reports whether key is the key of a partition's summary, or of one of its digest
+// and overflow records.
+func IsSummaryRecordKey(partition int, key string) bool {
+	summaryKey := SummaryKey(partition)
+	return key == summaryKey || strings.HasPrefix(key, summaryKey+"/")
+}
+
 // MachineDigestsKey returns the key of record i, counted from 0, of a partition's machine digests.
 func MachineDigestsKey(partition, i int) string { return SummaryKey(partition) + "/" + strconv.Itoa(i) }
 
