Register a node on the condition of its record's revision

Nobody has seen it yet: a live node could be missing among the live nodes until its next lease, so that no worker was assigned to it and the feature level was not raised after an upgrade.

Cause: the write of c/n/<node> had no condition, and the process remembered that it had written it. The write of an earlier process of the node, executed late, attached the record to the earlier lease, with which it was then deleted.

Evidence: in the simulation of TestLateRegistrationOfEarlierProcess the late write is answered 200, and 30 s later the store has no record of the live node.

The write now names the revision of the key, which is read first, so the late one is refused. Since an older program writes without a condition, the node also writes its record again when the watch shows that the one it wrote is gone or replaced.

--- a/internal/controller/late_commits_test.go
+++ b/internal/controller/late_commits_test.go
@@ -9,6 +9,7 @@
 
 	"ambersill/internal/emulator"
 	"ambersill/internal/records"
+	"ambersill/internal/wire"
 )
 
 // Guards against tasks that wait forever because a late summary without their demand replaced a
@@ -45,3 +46,45 @@
 		}
 	})
 }
+
+// Guards against a live node without a record: an earlier process of the node registered late,
+// under a lease that then expired, and took the record of the present process with it.
+func TestLateRegistrationOfEarlierProcess(t *testing.T) {
+	const node = 0
+	simulateOnePartition(t, 1, func(cluster *simulatedCluster) {
+		key := records.NodePrefix + cluster.nodes[node].Name
+		time.Sleep(30 * second)
+		held := cluster.store.HoldCommit(emulator.CommitHold{Prefix: key, Delay: second, AfterNewer: true})
+		cluster.restartNode(node, 10*second) // the record of the first process expires
+		time.Sleep(500 * time.Millisecond)   // the second process has a lease, and its registration is held
+		cluster.restartNode(node, second)
+		time.Sleep(30 * second)
+		if value, _ := cluster.store.Value(key); held.Status() == 0 || len(value) == 0 {
+			t.Errorf("late registration: status %d of its execution, want one; record of the live node %q, want one", held.Status(), value)
+		}
+	})
+}
+
+// Guards against the same fault beside a process of an earlier version, which names no condition:
+// the node writes its record again once the watch shows another one, or none.
+func TestReplacedNodeRecordIsWrittenAgain(t *testing.T) {
+	simulateOnePartition(t, 1, func(cluster *simulatedCluster) {
+		time.Sleep(10 * second)
+		earlier := New(cluster.settings(0), cluster.tuning, cluster.network.Host("earlier")).store
+		leaseID, err := earlier.GrantLease(cluster.ctx, 2*second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := records.NodePrefix + cluster.nodes[0].Name
+		put := wire.Write{Put: key, Value: records.NodeRecord{Node: cluster.nodes[0].Name}, LeaseID: leaseID}
+		if _, err := earlier.Commit(cluster.ctx, wire.Txn{Writes: []wire.Write{put}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * second)
+		var record records.NodeRecord
+		value, _ := cluster.store.Value(key)
+		if err := wire.Unmarshal(value, &record); err != nil || record.Level != records.CurrentFeatureLevel {
+			t.Errorf("record of the live node: got %+v, error %v; want one of the present level", record, err)
+		}
+	})
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"ambersill/internal/kvstore"
-	"ambersill/internal/records"
 	"ambersill/internal/transport"
 	"ambersill/internal/tuning"
-	"ambersill/internal/wire"
 )
 
 const (
@@ -27,16 +25,15 @@
 	renewRetryDelay = 200 * time.Millisecond
 )
 
-// membership maintains this node's lease and the node record attached to it. Only the
+// membership maintains this node's lease and the record of the node attached to it. Only the
 // goroutine of runMembership accesses its fields.
 type membership struct {
 	controller *Controller
 	// renewInterval is the time between two renewals of the lease.
 	renewInterval time.Duration
 	// renewedAt is when the last successful grant or renewal was requested.
-	renewedAt time.Time
-	// registered is whether the node's record is attached to the current lease.
-	registered bool
+	renewedAt    time.Time
+	registration registration
 	// loggedContactLost is the value of "lost" in the last log line about contact with the
 	// key-value store.
 	loggedContactLost bool
@@ -54,9 +51,7 @@
 		if !m.ensureLease(ctx) {
 			continue
 		}
-		if !m.registered {
-			m.registered = c.registerNode(ctx)
-		}
+		m.registration.ensure(ctx, c)
 		if !m.renewLease(ctx) {
 			continue
 		}
@@ -90,7 +85,7 @@
 		transport.Pause(ctx, grantRetryDelay)
 		return false
 	}
-	m.renewedAt, m.registered = requestedAt, false
+	m.renewedAt, m.registration = requestedAt, registration{}
 	m.controller.setLease(leaseID, requestedAt)
 	return true
 }
@@ -136,21 +131,6 @@
 	}
 }
 
-// registerNode writes this node's record, attached to its lease, and reports whether the
-// write is known to have succeeded. The write is idempotent.
-func (c *Controller) registerNode(ctx context.Context) bool {
-	put := wire.Write{
-		Put:     records.NodePrefix + c.settings.Node,
-		Value:   records.NodeRecord{Node: c.settings.Node, Level: c.supportedFeatureLevel},
-		LeaseID: c.currentLease(),
-	}
-	_, err := c.store.Commit(ctx, wire.Txn{Writes: []wire.Write{put}})
-	if err != nil {
-		slog.Debug("registering node failed", "key", put.Put, "err", err)
-	}
-	return err == nil
-}
-
 // setLease stores the ID of the lease, or 0 if there is none, and the time until which it is
 // certain to last. That time is counted from requestedAt, because the response does not show
 // when the store executed the grant or renewal, and it is shortened by the possible drift
