Drop a rental whose record appears after the fleet was sized without it

Operators pay for machines that nobody needs: a rental whose record was written late was requested from the cloud although another had taken its place.

Cause: if the commit of a rental's record has no response, the next round plans for the same tasks again. When the commit was executed late, the leader called the cloud for that rental as well.

The leader now marks the rentals of its term that have no record when it sizes the fleet, and deletes such a record when it appears. The cloud was never called for it, since only the leader of that term calls for it.

--- a/internal/controller/cluster_queries.go
+++ b/internal/controller/cluster_queries.go
@@ -50,6 +50,14 @@
 	return rentals
 }
 
+// hasRental reports whether a rental is recorded.
+func (c *clusterCache) hasRental(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.rentals[id]
+	return ok
+}
+
 // hasRentals reports whether any rental is recorded.
 func (c *clusterCache) hasRentals() bool {
 	c.mu.Lock()
--- a/internal/controller/late_commits_test.go
+++ b/internal/controller/late_commits_test.go
@@ -88,3 +88,23 @@
 		}
 	})
 }
+
+// Guards against machines that are rented twice for the same tasks: a rental whose record was
+// written late was requested from the cloud after another had taken its place.
+func TestLateRentalIsNotRequested(t *testing.T) {
+	const tasks, runS = 2, 70 // each task fills a machine, and runs too long to wait for another
+	for _, delay := range []time.Duration{2 * second, 7 * second, 12 * second} {
+		simulateOnePartition(t, 1, func(cluster *simulatedCluster) {
+			held := cluster.store.HoldCommit(emulator.CommitHold{Prefix: records.RentalPrefix, Delay: delay})
+			time.Sleep(5 * second)
+			cluster.submit(newSmallMachineJob(1, tasks, 8, runS), 0)
+			cluster.waitForJobsAndCheck(3 * time.Minute)
+			if rented := cluster.cloud.RentedMachines(); held.Status() == 0 || rented != tasks {
+				t.Errorf("rental recorded %v late: status %d of its execution, want one; got %d machines rented, want %d", delay, held.Status(), rented, tasks)
+			}
+			if rentals := cluster.store.CountKeys(records.RentalPrefix); rentals != 0 {
+				t.Errorf("rental recorded %v late: got %d records of rentals at the end, want 0", delay, rentals)
+			}
+		})
+	}
+}
--- a/internal/controller/rental.go
+++ b/internal/controller/rental.go
@@ -20,10 +20,13 @@
 // rentalRetryDelay is the minimum time between two calls of the cloud for the same rental.
 const rentalRetryDelay = 2 * time.Second
 
-// rentalProgress is the state of a recorded rental that this term's leader keeps in memory.
+// rentalProgress is the state of a rental that this term's leader keeps in memory.
 type rentalProgress struct {
 	lastCall         time.Time // latest call of the cloud; zero if this leader has made none
 	recordedThisTerm bool
+	// superseded is whether the fleet was sized while the record was missing, because its commit
+	// had no response. If the commit is executed late, the rental is one too many.
+	superseded bool
 }
 
 // recordedRental is a rental that is recorded in the key-value store. The record exists until
@@ -87,8 +90,29 @@
 	key := records.RentalPrefix + id
 	compares := []wire.Compare{{Key: key, Revision: 0}}
 	writes := []wire.Write{{Put: key, Value: record}}
-	if err := l.commit(ctx, compares, writes); err != nil {
-		slog.Debug("recording rental failed", "request", id, "err", err)
+	err := l.commit(ctx, compares, writes)
+	if err == nil {
+		return
+	}
+	slog.Debug("recording rental failed", "request", id, "err", err)
+	if classifyCommitError(err) != commitUnknown {
+		delete(l.rentals, id)
+	}
+}
+
+// supersedeMissingRentals marks the rentals without a record that the cloud was never called for.
+// It is called before the fleet is sized, which plans for their machines again. The others have
+// been replaced with records of their machines, and are forgotten.
+func (l *leader) supersedeMissingRentals() {
+	for id, progress := range l.rentals {
+		switch {
+		case l.controller.cluster.hasRental(id):
+		case progress.lastCall.IsZero():
+			progress.superseded = true
+			l.rentals[id] = progress
+		default:
+			delete(l.rentals, id)
+		}
 	}
 }
 
@@ -111,14 +135,17 @@
 	}
 }
 
-// isObsolete reports whether a rental need not be requested any more, because its offering is in
-// back-off and the cloud cannot have received the rental: it was recorded in this term, and this
-// leader has not called the cloud for it. The cloud has run out of the offering since the rental
-// was recorded.
+// isObsolete reports whether a rental need not be requested any more. The cloud cannot have received
+// it: it was recorded in this term, and this leader has not called the cloud for it. Either other
+// machines were planned in its place, or the cloud has run out of its offering since it was
+// recorded, so that the offering is in back-off.
 func (l *leader) isObsolete(rental recordedRental) bool {
 	progress := l.rentals[rental.id]
 	called := !progress.lastCall.IsZero()
-	return !called && progress.recordedThisTerm && l.backoffs[rental.offering()].active(time.Now())
+	if called || !progress.recordedThisTerm {
+		return false
+	}
+	return progress.superseded || l.backoffs[rental.offering()].active(time.Now())
 }
 
 // deleteObsoleteRental deletes the record of a rental for which the cloud was never called.
--- a/internal/controller/sizing.go
+++ b/internal/controller/sizing.go
@@ -45,6 +45,7 @@
 		return
 	}
 	now := time.Now()
+	l.supersedeMissingRentals()
 	ids, machines := l.controller.cluster.recordedMachines()
 	plan := l.autoscaler.Plan(autoscaler.Input{
 		MachineTypes:   types,
