--- a/internal/controller/partition_claims_test.go
+++ b/internal/controller/partition_claims_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"ambersill/internal/emulator"
 	"ambersill/internal/records"
 	"ambersill/internal/wire"
 )
@@ -136,3 +137,32 @@
 		test.t.Errorf("change made = %v, want true; the partition has %d machines, want %d as in the cache", test.changed, n, len(test.controller.cluster.machines))
 	}
 }
+
+// Guards against a claim that counts as applied although its commit was not executed: the key was
+// attached to the same lease by an earlier claim of the node.
+func TestUnansweredClaimDoesNotCountAsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cluster := newSimulatedCluster(ctx, t, 1)
+		controller := New(cluster.settings(0), cluster.tuning, cluster.network.Host("node-0"))
+		key := records.PartitionKey(0)
+		leaseID, err := controller.store.GrantLease(ctx, 30*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, err := controller.claimKey(ctx, key, 0, leaseID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held := cluster.store.HoldCommit(emulator.CommitHold{Prefix: key, Delay: 5 * time.Second})
+		if revision, err := controller.claimKey(ctx, key, first, leaseID); err == nil {
+			t.Errorf("claim whose commit was not executed: got revision %d, want an error", revision)
+		}
+		time.Sleep(10 * time.Second)
+		if _, revision := cluster.store.Value(key); held.Status() == 0 || revision == first {
+			t.Errorf("late claim: status %d of its execution and revision %d of the key, want another one than %d", held.Status(), revision, first)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
