Ignore the announcement of a claim that the watch has passed

Nobody has seen it yet: a node could count a partition as owned by a node that has ended, and never claim it.

Cause: the announcement of a claim, held up until the claim was deleted, reached a node that had listed the keys after that. The cache had no older revision to compare it with, and the watch never delivers the deletion.

Evidence: a cache that has listed no keys at revision 20 took an announcement at revision 15 as the owner.

Announcements whose revision is not above that up to which the watch has delivered all changes are ignored.

--- a/internal/controller/cluster_cache.go
+++ b/internal/controller/cluster_cache.go
@@ -123,10 +123,16 @@
 	})
 }
 
-// setPartitionOwner applies a successful claim of a partition to the cache, so that it is
-// visible before the watch delivers it.
+// setPartitionOwner applies a successful claim of a partition, by this node or as announced by
+// another one, so that it is visible before the watch delivers it. A claim that the watch must have
+// delivered already is ignored: its key may have been deleted since, and nothing would correct it.
 func (c *clusterCache) setPartitionOwner(partition int, owner ownership) {
-	c.update(func() (notify func()) { return c.applyPartitionOwner(partition, owner) })
+	c.update(func() (notify func()) {
+		if owner.revision <= c.revision {
+			return nil
+		}
+		return c.applyPartitionOwner(partition, owner)
+	})
 }
 
 // update calls mutate, which changes the cache, while mu is held, and signals the change. It
