Repeat an unanswered adoption before other machines are adopted

Nobody has seen it yet: a machine could be recorded in two groups, and a node that knew it by the one kept the tasks of a machine that was removed from the other.

Cause: an adoption without a response was not repeated. The next listing could put the same machines into a group of another name, if the first machine was gone, and the late commit then recorded them a second time.

What follows for the caches is by reading.

The leader now repeats the same commit until its outcome is known, so the late one is refused; after a conflict it reads the group into its cache.

Measured: that test fails on the code before and passes now.

--- a/internal/controller/adoption_test.go
+++ b/internal/controller/adoption_test.go
@@ -81,6 +81,48 @@
 	return adopted
 }
 
+// Guards against a machine in two groups: the record of adopted machines was written late, after the
+// first of them had gone and the others had been adopted again under another name. A node that
+// knows the machine by the one group does not see it leave the other, and keeps its tasks for ever.
+func TestLateAdoptionPutsNoMachineIntoTwoGroups(t *testing.T) {
+	simulate(t, 1, func(t *testing.T, cluster *simulatedCluster) {
+		cluster.tuning.ListS = 10 // the first machine is gone by the second listing
+		held := cluster.store.HoldCommit(emulator.CommitHold{Prefix: records.MachinePrefix, Delay: 12 * second})
+		for range 3 {
+			cluster.cloud.AddMachine("small", "a", false)
+		}
+		time.Sleep(30 * second) // the machines are up and in all listings
+		cluster.startNodes()
+		time.Sleep(2 * second)
+		cluster.cloud.Reclaim("m-000000")
+		for begin := time.Now(); time.Since(begin) < time.Minute && !t.Failed(); time.Sleep(second) {
+			cluster.checkMachinesInOneGroup()
+		}
+		if held.Status() == 0 {
+			t.Error("late adoption: never executed, want it executed")
+		}
+	})
+}
+
+// checkMachinesInOneGroup checks that no machine is in two of the stored groups.
+func (cluster *simulatedCluster) checkMachinesInOneGroup() {
+	cluster.t.Helper()
+	groups := map[string]string{}
+	for _, key := range cluster.store.Keys(records.MachinePrefix) {
+		var group records.MachineGroupRecord
+		value, _ := cluster.store.Value(key)
+		if err := wire.Unmarshal(value, &group); err != nil {
+			cluster.t.Error(err)
+		}
+		for id := range group.Machines {
+			if other := groups[id]; other != "" {
+				cluster.t.Errorf("groups of machine %s: got %s and %s, want one", id, other, key)
+			}
+			groups[id] = key
+		}
+	}
+}
+
 // Guards against machines that are rented again and again while the cloud does not answer.
 func TestCloudThatDoesNotAnswerGetsNoSecondRental(t *testing.T) {
 	const tasks = 2 // each fills a machine
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -99,6 +99,8 @@
 	listings  map[string]machineListing        // by machine ID
 	backoffs  map[autoscaler.Offering]offeringBackoff
 	rentals   map[string]rentalProgress // by request ID
+	// unconfirmedAdoption is the group of adopted machines whose commit had no response, or nil.
+	unconfirmedAdoption *records.MachineGroupRecord
 	// loggedSummaries is the revision of each partition's summary that was logged last.
 	loggedSummaries map[int]uint64
 
--- a/internal/controller/listing.go
+++ b/internal/controller/listing.go
@@ -39,6 +39,9 @@
 		// Machines without a record may belong to these rentals.
 		return
 	}
+	if !l.repeatUnconfirmedAdoption(ctx) {
+		return
+	}
 	_, machines := l.controller.cluster.recordedMachines()
 	if l.adoptMachines(ctx, cloudMachines, machines) {
 		l.returnFailedUnrecorded(ctx, cloudMachines, machines)
@@ -124,17 +127,57 @@
 	}
 	for _, offering := range offerings {
 		for _, group := range l.splitIntoGroups(offering, byOffering[offering], adopted) {
-			compare, write := newGroupWrite(group)
-			if err := l.commit(ctx, []wire.Compare{compare}, []wire.Write{write}); err != nil {
-				slog.Debug("recording adopted machines failed", "err", err)
+			if l.commitAdoptedGroup(ctx, group) != commitApplied {
 				return false
 			}
-			slog.Info("machines adopted", "count", len(group.Machines))
 		}
 	}
 	return true
 }
 
+// commitAdoptedGroup records a group of adopted machines. If the outcome is unknown, the group is
+// kept for repeatUnconfirmedAdoption.
+func (l *leader) commitAdoptedGroup(ctx context.Context, group records.MachineGroupRecord) commitOutcome {
+	compare, write := newGroupWrite(group)
+	err := l.commit(ctx, []wire.Compare{compare}, []wire.Write{write})
+	outcome := classifyCommitError(err)
+	switch outcome {
+	case commitApplied:
+		slog.Info("machines adopted", "count", len(group.Machines))
+	case commitUnknown:
+		l.unconfirmedAdoption = &group
+	case commitConflict, commitRefused, commitInvalid:
+		// Not executed. The machines are adopted after a later listing.
+	}
+	if err != nil {
+		slog.Debug("recording adopted machines failed", "err", err)
+	}
+	return outcome
+}
+
+// repeatUnconfirmedAdoption repeats the last adoption if its outcome is unknown, and reports whether
+// it is known now. The group must be the same: if a later listing made another group of some of its
+// machines, and the commit was executed late, these machines would be in two groups.
+func (l *leader) repeatUnconfirmedAdoption(ctx context.Context) bool {
+	if l.unconfirmedAdoption == nil {
+		return true
+	}
+	group := *l.unconfirmedAdoption
+	switch l.commitAdoptedGroup(ctx, group) {
+	case commitApplied:
+	case commitConflict:
+		// The group's key exists. The watch may not have delivered it yet.
+		if err := l.controller.refreshMachineGroup(ctx, lowestMachineID(group)); err != nil {
+			slog.Debug("reading adopted machines failed", "err", err)
+			return false
+		}
+	case commitUnknown, commitRefused, commitInvalid:
+		return false
+	}
+	l.unconfirmedAdoption = nil
+	return true
+}
+
 // isAdoptable reports whether a listed machine without a record may be adopted: it has not
 // failed and was not returned recently.
 func (l *leader) isAdoptable(machine wire.CloudMachine) bool {
--- a/internal/controller/machine_groups.go
+++ b/internal/controller/machine_groups.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
 
+	"ambersill/internal/kvstore"
 	"ambersill/internal/records"
 	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
@@ -90,6 +93,20 @@
 	}
 }
 
+// refreshMachineGroup reads the record of a machine group into the cluster cache.
+func (c *Controller) refreshMachineGroup(ctx context.Context, name string) error {
+	key := records.MachinePrefix + name
+	item, err := c.store.Get(ctx, key)
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.cluster.applyChange(keyChange{key: key, value: item.Value, revision: item.Revision})
+	return nil
+}
+
 // groupChange is the part of a transaction that changes one or more machine groups. The
 // change of a group must be committed as a whole, because it may split the group into several
 // records.
--- a/internal/emulator/kvstore.go
+++ b/internal/emulator/kvstore.go
@@ -92,19 +92,16 @@
 	return s.listedKeys
 }
 
-// CountKeys returns the number of keys with a prefix.
-func (s *KeyValueStore) CountKeys(prefix string) int {
+// Keys returns the keys with a prefix in ascending order.
+func (s *KeyValueStore) Keys(prefix string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := 0
-	for key := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			count++
-		}
-	}
-	return count
+	return s.sortedKeys(func(key string, _ entry) bool { return strings.HasPrefix(key, prefix) })
 }
 
+// CountKeys returns the number of keys with a prefix.
+func (s *KeyValueStore) CountKeys(prefix string) int { return len(s.Keys(prefix)) }
+
 // Dump returns one line for each key with its revision and decoded value, for the output of a
 // failing test.
 func (s *KeyValueStore) Dump() string {
