Ignore a listing of cancellations that is older than the last one

Nobody has seen it yet: a task of a cancelled job could start, and run until the next listing.

Cause: two listings can be under way at once, the regular one and the one after the watch of jobs has missed changes. The older one, applied last, replaced the newer set, and a job that the watch delivered after that was added as if it were not cancelled.

Evidence: TestOlderListingOfCancellationsIsIgnored applies them in that order.

Both readers now use one function, which ignores a listing that was requested before the last one, and jobs that were missed are added after the cancellations.

Measured: the test fails on the code before (not cancelled) and passes now.

--- a/internal/controller/cancellations.go
+++ b/internal/controller/cancellations.go
@@ -100,17 +100,27 @@
 	}
 }
 
-// setCancellations applies the cancellations that a poll, requested at requestedAt, has returned.
+// setCancellations applies the cancellations that a listing, requested at requestedAt, has returned.
 func (o *ownedPartition) setCancellations(items []wire.KeyValue, requestedAt time.Time) {
 	o.mu.Lock()
-	anyNew := o.partition.SetCancelledJobs(o.cancelledJobs(items), time.Now())
-	o.cancellationsReadAt = requestedAt
+	anyNew := o.applyCancellations(items, requestedAt)
 	o.mu.Unlock()
 	if anyNew {
 		o.requestCycle()
 	}
 }
 
+// applyCancellations is setCancellations for callers that hold o.mu. It reports whether any job of
+// the partition is cancelled that was not before. It ignores a listing that was requested before the
+// one that was applied last, because it may lack the cancellation of a job that is added later.
+func (o *ownedPartition) applyCancellations(items []wire.KeyValue, requestedAt time.Time) (anyNew bool) {
+	if requestedAt.Before(o.cancellationsReadAt) {
+		return false
+	}
+	o.cancellationsReadAt = requestedAt
+	return o.partition.SetCancelledJobs(o.cancelledJobs(items), time.Now())
+}
+
 // cancelledJobs returns the IDs of the jobs in a listing of cancellation keys.
 func (o *ownedPartition) cancelledJobs(items []wire.KeyValue) []string {
 	prefix := records.CancellationPrefix(o.index)
--- a/internal/controller/job_watch.go
+++ b/internal/controller/job_watch.go
@@ -75,18 +75,20 @@
 	if err != nil {
 		return 0, err
 	}
+	cancellationsRequestedAt := time.Now()
 	cancellations, _, err := store.List(ctx, records.CancellationPrefix(o.index))
 	if err != nil {
 		return 0, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	// The cancellations are applied first, so that jobs are cancelled as soon as they are added.
+	o.applyCancellations(cancellations, cancellationsRequestedAt)
 	for _, item := range chunks {
 		if chunk, ok := submittedChunk(item); ok {
 			o.partition.AddJob(chunk.Job, time.UnixMilli(chunk.SubmittedAtMS), item.Revision)
 		}
 	}
-	o.partition.SetCancelledJobs(o.cancelledJobs(cancellations), time.Now())
 	return revision, nil
 }
 
