--- a/internal/emulator/held_commit.go
+++ b/internal/emulator/held_commit.go
@@ -28,6 +28,7 @@
 	hold   CommitHold
 	store  *KeyValueStore
 	txn    *rawTxn // nil until a commit is held
+	sender string  // the host that sent it
 	key    string  // the first matching key that the held commit puts
 	heldAt time.Time
 	status int // of the late execution; 0 until then
@@ -50,13 +51,20 @@
 	return h.status
 }
 
+// Sender returns the host whose commit is held or was executed late, or "" if there is none yet.
+func (h *HeldCommit) Sender() string {
+	h.store.mu.Lock()
+	defer h.store.mu.Unlock()
+	return h.sender
+}
+
 // holdsCommit holds a commit if a CommitHold selects it, and reports whether one does.
 func (s *KeyValueStore) holdsCommit(from string, txn *rawTxn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, held := range s.heldCommits {
 		if held.selects(from, txn) {
-			held.begin(txn)
+			held.begin(from, txn)
 			return true
 		}
 	}
@@ -82,8 +90,8 @@
 }
 
 // begin holds a commit. The store's lock must be held.
-func (h *HeldCommit) begin(txn *rawTxn) {
-	h.txn, h.heldAt = txn, time.Now()
+func (h *HeldCommit) begin(from string, txn *rawTxn) {
+	h.txn, h.sender, h.heldAt = txn, from, time.Now()
 	if !h.hold.AfterNewer {
 		time.AfterFunc(h.hold.Delay, func() {
 			h.store.mu.Lock()
