--- a/internal/controller/one_late_commit_test.go
+++ b/internal/controller/one_late_commit_test.go
@@ -135,17 +135,40 @@
 			cluster.t.Errorf("%s: live node %s has no record", name, node.Name)
 		}
 	}
-	for _, prefix := range []string{records.MachinePrefix, records.RentalPrefix, records.ChunkPrefix(0), records.CancellationPrefix(0)} {
-		if n := cluster.store.CountKeys(prefix); n != 0 {
-			cluster.t.Errorf("%s: keys below %s of a cluster without work: got %d, want 0", name, prefix, n)
-		}
+	cluster.checkNoKeys(name, records.MachinePrefix)
+	cluster.checkNoKeys(name, records.RentalPrefix)
+	for partition := range cluster.partitionCount() {
+		cluster.checkNoKeys(name, records.ChunkPrefix(partition))
+		cluster.checkNoKeys(name, records.CancellationPrefix(partition))
+		cluster.checkSummaryWithoutWork(name, partition)
+	}
+}
+
+// partitionCount returns the number of partitions that the tunables set.
+func (cluster *simulatedCluster) partitionCount() int {
+	if cluster.tuning.Parts == 0 {
+		return controllerCount
 	}
+	return cluster.tuning.Parts
+}
+
+// checkNoKeys checks that no key with a prefix is left.
+func (cluster *simulatedCluster) checkNoKeys(name, prefix string) {
+	cluster.t.Helper()
+	if n := cluster.store.CountKeys(prefix); n != 0 {
+		cluster.t.Errorf("%s: keys below %s of a cluster without work: got %d, want 0", name, prefix, n)
+	}
+}
+
+// checkSummaryWithoutWork checks that the summary of a partition has no waiting tasks.
+func (cluster *simulatedCluster) checkSummaryWithoutWork(name string, partition int) {
+	cluster.t.Helper()
 	var summary records.PartitionSummary
-	value, _ := cluster.store.Value(records.SummaryKey(0))
+	value, _ := cluster.store.Value(records.SummaryKey(partition))
 	if err := wire.Unmarshal(value, &summary); err != nil {
-		cluster.t.Errorf("%s: decoding the summary: %v", name, err)
+		cluster.t.Errorf("%s: decoding the summary of partition %d: %v", name, partition, err)
 	}
 	if waiting := summary.WaitingTasks(); waiting != 0 {
-		cluster.t.Errorf("%s: waiting tasks in the summary of a cluster without work: got %d, want 0", name, waiting)
+		cluster.t.Errorf("%s: waiting tasks in the summary of partition %d without work: got %d, want 0", name, partition, waiting)
 	}
 }
--- a/internal/controller/simulated_cluster_test.go
+++ b/internal/controller/simulated_cluster_test.go
@@ -33,8 +33,9 @@
 	randomFaultStream
 	injectorStream
 	faultPairStream
-	upgradePairStream uint64 = 9
-	replicaExitStream uint64 = 10
+	upgradePairStream  uint64 = 9
+	replicaExitStream  uint64 = 10
+	quietClusterStream uint64 = 11
 )
 
 // Addresses of the emulated external systems.
