Keep cached keys that are newer than a listing which lacks them

Nobody has seen it yet: a sizing round could plan again for a rental that was just recorded.

Cause: a listing of the cluster's keys removed from the cache what it lacked, with an exception for groups of machines that this node had written after it; rentals and nodes had none.

Evidence: TestListingKeepsNewerRental on the code before: a rental at revision 21 is removed by a listing as of revision 20.

The rule for groups now holds for all keys.

Measured: that test fails on the code before and passes now.

--- a/internal/controller/cluster_cache.go
+++ b/internal/controller/cluster_cache.go
@@ -269,35 +269,33 @@
 }
 
 // keysMissingFrom returns the cached keys that a listing as of a revision lacks, since they
-// were deleted before that revision.
+// were deleted before that revision. A key with a higher revision was written after the listing,
+// by this node or as a peer has announced.
 func (c *clusterCache) keysMissingFrom(listed map[string]bool, revision uint64) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var missing []string
-	addUnlessListed := func(key string) {
-		if !listed[key] {
+	addUnlessListed := func(key string, keyRevision uint64) {
+		if !listed[key] && keyRevision <= revision {
 			missing = append(missing, key)
 		}
 	}
 	for partition, owner := range c.partitions {
 		if owner.node != "" {
-			addUnlessListed(records.PartitionKey(partition))
+			addUnlessListed(records.PartitionKey(partition), owner.revision)
 		}
 	}
 	if c.leader.node != "" {
-		addUnlessListed(records.LeaderKey)
+		addUnlessListed(records.LeaderKey, c.leader.revision)
 	}
-	for name := range c.nodes {
-		addUnlessListed(records.NodePrefix + name)
+	for name, node := range c.nodes {
+		addUnlessListed(records.NodePrefix+name, node.revision)
 	}
 	for name, group := range c.groups {
-		// If a group has a higher revision, this node wrote it after the listing.
-		if group.revision <= revision {
-			addUnlessListed(records.MachinePrefix + name)
-		}
+		addUnlessListed(records.MachinePrefix+name, group.revision)
 	}
-	for id := range c.rentals {
-		addUnlessListed(records.RentalPrefix + id)
+	for id, rental := range c.rentals {
+		addUnlessListed(records.RentalPrefix+id, rental.revision)
 	}
 	return missing
 }
--- a/internal/controller/cluster_cache_test.go
+++ b/internal/controller/cluster_cache_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"ambersill/internal/peerrpc"
+	"ambersill/internal/records"
 )
 
 // Guards against a partition that counts as owned by a node which no longer owns it: the late
@@ -29,3 +30,20 @@
 		})
 	}
 }
+
+// Guards against a rental that is dropped although it was just recorded: a listing that was made
+// before it removed it from the cache.
+func TestListingKeepsNewerRental(t *testing.T) {
+	const listedAt = 20
+	for _, test := range []struct {
+		revision uint64
+		want     bool
+	}{{listedAt - 1, false}, {listedAt, false}, {listedAt + 1, true}} {
+		cache := newClusterCache()
+		cache.applyChange(putChange(records.RentalPrefix+"r-7-0", records.RentalRecord{Count: 1}, test.revision))
+		cache.replaceAll(nil, listedAt)
+		if got := cache.hasRental("r-7-0"); got != test.want {
+			t.Errorf("rental at revision %d after a listing at %d that lacks it: kept %v, want %v", test.revision, listedAt, got, test.want)
+		}
+	}
+}
