--- a/internal/controller/one_late_commit_test.go
+++ b/internal/controller/one_late_commit_test.go
@@ -11,7 +11,6 @@
 
 	"ambersill/internal/emulator"
 	"ambersill/internal/records"
-	"ambersill/internal/wire"
 )
 
 // lateCommitTest executes commits late that put a key of one kind.
@@ -126,49 +125,3 @@
 	time.Sleep(second / 2)
 	cluster.restartNode(sender, second)
 }
-
-// checkRecordsOfQuietCluster checks the records of a cluster that has had no work for some time.
-func (cluster *simulatedCluster) checkRecordsOfQuietCluster(name string) {
-	cluster.t.Helper()
-	for _, node := range cluster.nodes {
-		if value, _ := cluster.store.Value(records.NodePrefix + node.Name); len(value) == 0 {
-			cluster.t.Errorf("%s: live node %s has no record", name, node.Name)
-		}
-	}
-	cluster.checkNoKeys(name, records.MachinePrefix)
-	cluster.checkNoKeys(name, records.RentalPrefix)
-	for partition := range cluster.partitionCount() {
-		cluster.checkNoKeys(name, records.ChunkPrefix(partition))
-		cluster.checkNoKeys(name, records.CancellationPrefix(partition))
-		cluster.checkSummaryWithoutWork(name, partition)
-	}
-}
-
-// partitionCount returns the number of partitions that the tunables set.
-func (cluster *simulatedCluster) partitionCount() int {
-	if cluster.tuning.Parts == 0 {
-		return controllerCount
-	}
-	return cluster.tuning.Parts
-}
-
-// checkNoKeys checks that no key with a prefix is left.
-func (cluster *simulatedCluster) checkNoKeys(name, prefix string) {
-	cluster.t.Helper()
-	if n := cluster.store.CountKeys(prefix); n != 0 {
-		cluster.t.Errorf("%s: keys below %s of a cluster without work: got %d, want 0", name, prefix, n)
-	}
-}
-
-// checkSummaryWithoutWork checks that the summary of a partition has no waiting tasks.
-func (cluster *simulatedCluster) checkSummaryWithoutWork(name string, partition int) {
-	cluster.t.Helper()
-	var summary records.PartitionSummary
-	value, _ := cluster.store.Value(records.SummaryKey(partition))
-	if err := wire.Unmarshal(value, &summary); err != nil {
-		cluster.t.Errorf("%s: decoding the summary of partition %d: %v", name, partition, err)
-	}
-	if waiting := summary.WaitingTasks(); waiting != 0 {
-		cluster.t.Errorf("%s: waiting tasks in the summary of partition %d without work: got %d, want 0", name, partition, waiting)
-	}
-}
--- a/internal/controller/quiet_cluster_test.go
+++ b/internal/controller/quiet_cluster_test.go
@@ -30,6 +30,7 @@
 func runFewJobsWithLateCommits(t *testing.T, cluster *simulatedCluster, random *rand.Rand) {
 	const window = 90 * second
 	script := lateCommitScript(random, window)
+	defer logScriptOnFailure(t, script) // a simulation that fails ends the test
 	for range random.IntN(3) {
 		cluster.cloud.AddMachine("small", "a", false) // is adopted
 	}
@@ -45,7 +46,6 @@
 	cluster.waitForJobsAndCheck(6 * time.Minute)
 	time.Sleep(3 * time.Minute)
 	cluster.checkRecordsOfQuietCluster("few jobs with late commits")
-	logScriptOnFailure(t, script)
 }
 
 // lateCommitScript returns a script in which many commits are late or not answered, and up to two
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -166,15 +166,18 @@
 	t.Parallel()
 	forEachSeed(t, seedCount(5), func(t *testing.T, seed int) {
 		random := rand.New(rand.NewPCG(uint64(seed), faultPairStream))
-		script := randomFaultPairs(random, 3*time.Minute)
-		scenario := faultScenario{
+		runWithFaultPairs(t, random, &faultScenario{
 			seed:         uint64(200 + seed),
 			pollAllNodes: seed%2 == 1,
-			script:       script,
 			submit:       func(cluster *simulatedCluster) { cluster.submitRandomJobs(36, 170*second) },
 			setup:        func(cluster *simulatedCluster) { cluster.store.AnswerRefusedWatches = seed%3 == 0 },
-		}
-		defer logScriptOnFailure(t, script) // a simulation that fails ends the test
-		scenario.run(t)
+		})
 	})
 }
+
+// runWithFaultPairs runs a scenario with a script of random pairs of overlapping faults.
+func runWithFaultPairs(t *testing.T, random *rand.Rand, scenario *faultScenario) {
+	scenario.script = randomFaultPairs(random, 3*time.Minute)
+	defer logScriptOnFailure(t, scenario.script) // a simulation that fails ends the test
+	scenario.run(t)
+}
--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -212,19 +212,15 @@
 	t.Parallel()
 	forEachSeed(t, seedCount(4), func(t *testing.T, seed int) {
 		random := rand.New(rand.NewPCG(uint64(seed), upgradePairStream))
-		script := randomFaultPairs(random, 3*time.Minute)
-		scenario := faultScenario{
+		runWithFaultPairs(t, random, &faultScenario{
 			seed:         uint64(300 + seed),
 			pollAllNodes: seed%2 == 1,
-			script:       script,
 			setup: func(cluster *simulatedCluster) {
 				cluster.useOldVersion()
 				cluster.exitReplicasAtRandom(uint64(seed))
 			},
 			submit: func(cluster *simulatedCluster) { submitDuringUpgrade(cluster, random) },
-		}
-		defer logScriptOnFailure(t, script) // a simulation that fails ends the test
-		scenario.run(t)
+		})
 	})
 }
 
