--- a/internal/controller/one_late_commit_test.go
+++ b/internal/controller/one_late_commit_test.go
@@ -13,7 +13,7 @@
 	"ambersill/internal/records"
 )
 
-// lateCommitTest executes commits late that put a key of one kind.
+// lateCommitTest executes commits late that put or delete a key of one kind.
 type lateCommitTest struct {
 	name   string
 	prefix string // of the key
@@ -75,11 +75,11 @@
 	}
 }
 
-// holds returns the commits to hold, one in each simulation.
+// holds returns the commits to hold, one in each simulation. SEEDS sets how many commits of a kind
+// are held, from the first one.
 func (test *lateCommitTest) holds() []emulator.CommitHold {
-	const maxSkipped = 2
 	var holds []emulator.CommitHold
-	for skip := range maxSkipped + 1 {
+	for skip := range seedCount(3) {
 		for _, delay := range []time.Duration{2 * second, 9 * second} {
 			holds = append(holds,
 				emulator.CommitHold{Prefix: test.prefix, Skip: skip, Delay: delay},
--- a/internal/emulator/held_commit.go
+++ b/internal/emulator/held_commit.go
@@ -11,14 +11,14 @@
 type CommitHold struct {
 	// From is the host whose commit is held; the commits of all hosts count if it is empty.
 	From string
-	// Prefix is the prefix of a key that the commit puts.
+	// Prefix is the prefix of a key that the commit puts or deletes.
 	Prefix string
 	// Skip is the number of such commits that are executed at once before one is held.
 	Skip int
 	// Delay is the time between the arrival of the commit and its execution. With AfterNewer it
 	// is the minimum of that time.
 	Delay time.Duration
-	// AfterNewer executes the commit right after another one that puts the same key, so that
+	// AfterNewer executes the commit right after another one that writes the same key, so that
 	// nobody can read the key between the two.
 	AfterNewer bool
 }
@@ -29,7 +29,7 @@
 	store  *KeyValueStore
 	txn    *rawTxn // nil until a commit is held
 	sender string  // the host that sent it
-	key    string  // the first matching key that the held commit puts
+	key    string  // the first matching key that the held commit writes
 	heldAt time.Time
 	status int // of the late execution; 0 until then
 }
@@ -77,7 +77,7 @@
 	if h.txn != nil || (h.hold.From != "" && h.hold.From != from) {
 		return false
 	}
-	key := txn.firstPut(h.hold.Prefix)
+	key := txn.firstWrittenKey(h.hold.Prefix)
 	if key == "" {
 		return false
 	}
@@ -111,23 +111,32 @@
 func (s *KeyValueStore) executeHeldAfter(newer *rawTxn) {
 	for _, held := range s.heldCommits {
 		due := held.hold.AfterNewer && held.txn != nil && held.txn != newer && held.status == 0
-		if due && time.Since(held.heldAt) >= held.hold.Delay && newer.puts(held.key) {
+		if due && time.Since(held.heldAt) >= held.hold.Delay && newer.writesKey(held.key) {
 			held.execute()
 		}
 	}
 }
 
-// firstPut returns the first key with a prefix that the transaction puts, or "" if there is none.
-func (t *rawTxn) firstPut(prefix string) string {
+// firstWrittenKey returns the first key with a prefix that the transaction puts or deletes, or "" if
+// there is none.
+func (t *rawTxn) firstWrittenKey(prefix string) string {
 	for _, write := range t.Writes {
-		if write.Put != "" && strings.HasPrefix(write.Put, prefix) {
-			return write.Put
+		if key := write.key(); strings.HasPrefix(key, prefix) {
+			return key
 		}
 	}
 	return ""
 }
 
-// puts reports whether the transaction puts a key.
-func (t *rawTxn) puts(key string) bool {
-	return slices.ContainsFunc(t.Writes, func(write rawWrite) bool { return write.Put == key })
+// writesKey reports whether the transaction puts or deletes a key.
+func (t *rawTxn) writesKey(key string) bool {
+	return slices.ContainsFunc(t.Writes, func(write rawWrite) bool { return write.key() == key })
+}
+
+// key returns the key that is put or deleted.
+func (w *rawWrite) key() string {
+	if w.Put != "" {
+		return w.Put
+	}
+	return w.Delete
 }
