Convert seconds that are out of range alike on every processor

Callers saw nothing on x86-64. On arm64 TestTaskDoesNotStartAfterItsLeaseExpired failed, 5 of 5, on the code before this one: an emulated machine type without a rate divides by zero, and the infinite fetch time became the shortest duration on x86-64 and the longest on arm64, where the task never starts.

Cause: Go leaves the conversion of a float that is out of range to the processor. A user can reach it in the scheduler, too: 100,000 tasks of 1e9 s each are 1e14 s of work, which on x86-64 is a negative duration, so that the job with the most work would go first. That is by reading and by the language's specification: it was not run on x86-64, and on arm64 TestJobWithMostWorkComesLast and TestSecondsOutOfRangeAreTheLongestDuration pass before, too.

tuning.Seconds now gives the longest duration of the sign, and a machine type without a rate fetches in no time, as it did on x86-64. TestTaskDoesNotStartAfterItsLeaseExpired passes on arm64.

--- a/internal/emulator/worker_tasks.go
+++ b/internal/emulator/worker_tasks.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ambersill/internal/tuning"
 	"ambersill/internal/wire"
 )
 
@@ -60,12 +61,13 @@
 }
 
 // imageFetchTime returns how long fetching a job's image takes; minTimerDelay if the machine has
-// the image.
+// the image, or if its type has no rate.
 func (w *Worker) imageFetchTime(job *wire.Job) time.Duration {
-	if w.fetchedImages[job.Image] {
+	rate := w.machineType.ImageFetchGBPerS
+	if w.fetchedImages[job.Image] || rate <= 0 {
 		return minTimerDelay
 	}
-	return time.Duration(job.ImageGB / w.machineType.ImageFetchGBPerS * float64(time.Second))
+	return tuning.Seconds(job.ImageGB / rate)
 }
 
 // exit makes a task exit with a cause, which heartbeats report until the task is forgotten. The
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -2,7 +2,10 @@
 // for their values. Operators override tunables by name in a policy script.
 package tuning
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Tuning contains the tunables. Durations are numbers of seconds, so that a policy script can set
 // them as plain numbers.
@@ -262,5 +265,15 @@
 	IdleTimeout = 45 * time.Second
 )
 
-// Seconds converts a number of seconds to a duration.
-func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// Seconds converts a number of seconds to a duration. A number that is out of range gives the longest
+// duration of its sign, since the result of Go's own conversion would depend on the processor.
+func Seconds(s float64) time.Duration {
+	nanoseconds := s * float64(time.Second)
+	switch {
+	case nanoseconds >= math.MaxInt64:
+		return math.MaxInt64
+	case nanoseconds <= math.MinInt64:
+		return math.MinInt64
+	}
+	return time.Duration(nanoseconds)
+}
