Let emulated workers execute late copies of commands that they have answered

The emulator could hold up a command until its sender had given up, but not execute a second time one that was carried out and answered, as happens when a controller or a machine is back within a second.

--- a/cmd/ambersill/standin.go
+++ b/cmd/ambersill/standin.go
@@ -28,6 +28,9 @@
 	defaultStandinJobs  = 5
 )
 
+// maxCommandCopyDelay is the longest time after which a copy of a command request is executed.
+const maxCommandCopyDelay = time.Minute
+
 // Permissions of the settings files and their directory. The files contain no secrets.
 const (
 	directoryMode = 0o755
@@ -42,6 +45,8 @@
 	directory string
 	nodes     int
 	jobs      int
+	// commandCopies is the fraction of direct command requests of which a late copy is executed.
+	commandCopies float64
 }
 
 func (o *standinOptions) validate() error {
@@ -52,6 +57,8 @@
 		return fmt.Errorf("%w: --nodes must be from 1 to %d", errInvalidConfig, maxStandinNodes)
 	case o.jobs < 0 || o.jobs > maxStandinJobs:
 		return fmt.Errorf("%w: --jobs must be from 0 to %d", errInvalidConfig, maxStandinJobs)
+	case !(o.commandCopies >= 0 && o.commandCopies <= 1):
+		return fmt.Errorf("%w: --command-copies must be from 0 to 1", errInvalidConfig)
 	}
 	return nil
 }
@@ -78,6 +85,8 @@
 	cmd.Flags().StringVar(&options.directory, "dir", "", "`directory` for the settings files")
 	cmd.Flags().IntVar(&options.nodes, "nodes", defaultStandinNodes, "`number` of controllers to write settings for")
 	cmd.Flags().IntVar(&options.jobs, "jobs", defaultStandinJobs, "`number` of sample jobs that users submit")
+	cmd.Flags().Float64Var(&options.commandCopies, "command-copies", 0,
+		"`fraction` of direct command requests that workers execute again, up to a minute later")
 	return cmd
 }
 
@@ -88,7 +97,7 @@
 	for i := range settings {
 		settings[i] = sampleSettings(i, options.nodes)
 	}
-	simulation := newSampleSimulation(ctx, settings)
+	simulation := newSampleSimulation(ctx, settings, options.commandCopies)
 
 	store, err := serveOnLoopback(ctx, portStore, emulator.NewKeyValueStore().Handler())
 	if err != nil {
@@ -114,8 +123,9 @@
 	return nil
 }
 
-// newSampleSimulation returns a simulation of the workers and users of the given controllers.
-func newSampleSimulation(ctx context.Context, settings []config.Settings) *emulator.Simulation {
+// newSampleSimulation returns a simulation of the workers and users of the given controllers, in which
+// workers execute late copies of the given fraction of direct command requests.
+func newSampleSimulation(ctx context.Context, settings []config.Settings, commandCopies float64) *emulator.Simulation {
 	cluster := &settings[0].Cluster
 	simulationConfig := emulator.SimulationConfig{
 		Ctx:               ctx,
@@ -127,6 +137,8 @@
 		GangPeerTimeout:   tuning.Seconds(cluster.WorkerTiming.GangPeerTimeoutS),
 		CancelDeadline:    tuning.Seconds(cluster.WorkerTiming.CancelDeadlineS),
 		Teams:             cluster.Teams,
+		OnCommandsExecuted: emulator.RepeatCommands(
+			ctx, commandCopies, maxCommandCopyDelay, rand.Float64, func() {}),
 	}
 	for _, node := range settings {
 		simulationConfig.Nodes = append(simulationConfig.Nodes, emulator.Node{Name: node.Node, Addr: node.PublicAddr})
--- a/cmd/ambersill/standin_test.go
+++ b/cmd/ambersill/standin_test.go
@@ -36,6 +36,8 @@
 		{"standin", "--dir", t.TempDir(), "--nodes", "10"},
 		{"standin", "--dir", t.TempDir(), "--jobs", "-1"},
 		{"standin", "--dir", t.TempDir(), "--jobs", "1001"},
+		{"standin", "--dir", t.TempDir(), "--command-copies", "1.5"},
+		{"standin", "--dir", t.TempDir(), "--command-copies", "NaN"},
 	} {
 		cmd := rootCommand()
 		cmd.SetArgs(arguments)
--- a/internal/emulator/fault_injector.go
+++ b/internal/emulator/fault_injector.go
@@ -44,14 +44,16 @@
 	countedRefusals map[string]int // refused requests in injectedCounts, by host that is refused now
 	commitFaults    activeFaults[commitFaultFunc]
 	heartbeatFaults activeFaults[heartbeatFunc]
+	commandFaults   activeFaults[commandsFunc]
 	switches        overlappingSettings[bool]
 	delays          overlappingSettings[time.Duration]
 	wg              sync.WaitGroup
 }
 
 // InjectedCount returns how often a kind of fault took effect. Depending on the kind, it counts
-// refused requests, late or unanswered commits, sent copies of heartbeats, requests with late
-// commands, cancelled jobs, affected machines or nodes, or injected faults.
+// refused requests, late or unanswered commits, sent copies of heartbeats, executed copies of command
+// requests, requests with late commands, cancelled jobs, affected machines or nodes, or injected
+// faults.
 func (f *FaultInjector) InjectedCount(kind FaultKind) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -75,7 +77,7 @@
 }
 
 // Attach registers the injector with the key-value store and the simulation, so that it can affect
-// commits and heartbeats. It must be called before the controllers start.
+// commits, heartbeats and command requests. It must be called before the controllers start.
 func (f *FaultInjector) Attach() {
 	f.Store.ChooseFault = func(from string, _ *wire.Txn) (RequestFault, time.Duration) {
 		return f.chooseCommitFault(from)
@@ -85,6 +87,11 @@
 			onHeartbeat(heartbeat, send)
 		}
 	}
+	f.Simulation.OnCommandsExecuted = func(request *wire.CommandRequest, repeat CommandRepeater) {
+		for _, onExecuted := range f.commandFaults.functions() {
+			onExecuted(request, repeat)
+		}
+	}
 }
 
 // chooseCommitFault returns what happens to a commit: the effect of the first active fault that
@@ -130,6 +137,8 @@
 		f.slowProcessors(ctx, fault)
 	case NodeFrozen:
 		f.freezeNodes(ctx, fault)
+	case LateCommandCopies:
+		f.copyCommands(ctx, fault)
 	case LateHeartbeats:
 		f.sendLateHeartbeatCopies(ctx, fault)
 	case HeartbeatsForNextOwner:
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -46,6 +46,10 @@
 	// fault is over and the first partition has a new owner, it waits for Delay and sends the
 	// recorded heartbeats to every node.
 	HeartbeatsForNextOwner FaultKind = "heartbeats for next owner"
+	// LateCommandCopies copies each direct command request that a worker has executed and answered
+	// with the given Probability. The worker executes the copy minCommandCopyDelay and a random time
+	// of up to Delay later, if token and incarnation still match, and nobody receives its response.
+	LateCommandCopies FaultKind = "late command copies"
 	// SlowLinks delays messages to and from workers and users by Delay in each direction.
 	SlowLinks FaultKind = "slow links"
 )
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -36,6 +36,10 @@
 	// machine's outbound traffic is cut. It may call send at any later time to send a copy of
 	// the heartbeat to a node.
 	OnHeartbeat func(heartbeat *wire.Heartbeat, send func(to Node))
+	// OnCommandsExecuted, if not nil, is called with each command request that a worker has
+	// executed and answered. It may call repeat at any later time to execute a copy of the
+	// request. It is called with the simulation's lock held.
+	OnCommandsExecuted func(request *wire.CommandRequest, repeat CommandRepeater)
 	// OnJobDone, if not nil, is called with the job ID when the last task of a job completes.
 	OnJobDone func(job string)
 }
--- a/internal/emulator/worker_commands.go
+++ b/internal/emulator/worker_commands.go
@@ -47,18 +47,30 @@
 	if !w.awaitCommandExecution(ctx) || w.dead {
 		return
 	}
+	if !w.executeRequest(request) {
+		writeResponse(rw, http.StatusConflict, w.heartbeat())
+		return
+	}
+	writeResponse(rw, http.StatusOK, w.heartbeat())
+	if onExecuted := w.simulation.OnCommandsExecuted; onExecuted != nil {
+		onExecuted(request, w.commandRepeater(ctx, request))
+	}
+}
+
+// executeRequest executes the commands of a request. It executes none and returns false if the
+// request has a lower fencing token than the worker has seen, or is for another incarnation. The
+// simulation's lock must be held.
+func (w *Worker) executeRequest(request *wire.CommandRequest) (executed bool) {
 	w.expireLease()
-	status := http.StatusOK
 	if request.FencingToken < w.fencingToken || request.Incarnation != w.incarnation {
-		status = http.StatusConflict
-	} else {
-		if request.FencingToken > w.fencingToken {
-			w.requestEarlyHeartbeat()
-		}
-		w.fencingToken = request.FencingToken
-		w.executeCommands(request.Commands)
+		return false
 	}
-	writeResponse(rw, status, w.heartbeat())
+	if request.FencingToken > w.fencingToken {
+		w.requestEarlyHeartbeat()
+	}
+	w.fencingToken = request.FencingToken
+	w.executeCommands(request.Commands)
+	return true
 }
 
 // awaitCommandExecution waits until the command delay has passed and the machine does not hang. It
