Log each command to a worker with its token, and count commands and refused requests

After the incident "a task ran on two machines at once" the controllers' logs could not tell why a task had started: of starts, stops and forgets they had nothing, so that a second start sent by the owner and a late copy of the first one looked the same. Only the workers' own record told them apart.

At level debug `command to worker` has one line for each command, with its path, its fencing token and the age of the listing of cancellations; `worker refused commands` says which token a worker had seen. The counters have the commands by kind, and the direct requests by outcome.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"time"
 
 	"ambersill/internal/scheduler"
@@ -56,21 +55,29 @@
 // sendCommandsTo sends the pending commands of a machine to its worker, and reports whether the
 // worker has executed them. It returns true if there is nothing to send.
 func (o *ownedPartition) sendCommandsTo(ctx context.Context, id, address string) (executed bool) {
-	cancellationsFresh := o.mayStartTasks()
-	o.mu.Lock()
-	request, ok := o.partition.DirectCommands(id, cancellationsFresh)
-	o.mu.Unlock()
+	request, ok := o.nextRequest(ctx, id)
 	if !ok {
 		return true
 	}
 	heartbeat, executed, err := o.controller.workers.SendCommands(ctx, address, request)
-	if err != nil {
-		slog.Debug("sending commands to worker failed", "machine", id, "err", err)
-	}
+	logRequestOutcome(id, request, heartbeat, executed, err)
 	o.handleCommandResponse(id, request, heartbeat, commandOutcome(executed, err))
 	return executed
 }
 
+// nextRequest returns the request with a machine's pending commands. The result is false if there are
+// none.
+func (o *ownedPartition) nextRequest(ctx context.Context, id string) (wire.CommandRequest, bool) {
+	cancellationsFresh := o.mayStartTasks()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	request, ok := o.partition.DirectCommands(id, cancellationsFresh)
+	if ok {
+		o.logCommands(ctx, id, viaRequest, request.FencingToken, request.Commands)
+	}
+	return request, ok
+}
+
 // commandOutcome returns the outcome of a request to a worker.
 func commandOutcome(executed bool, err error) scheduler.CommandOutcome {
 	switch {
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -110,5 +110,11 @@
 		"gang_timeouts", p.scheduling.GangTimeouts,
 		"journal_records", p.scheduling.JournalRecords,
 		"compactions", p.scheduling.Compactions,
+		"starts_sent", p.scheduling.StartsSent,
+		"stops_sent", p.scheduling.StopsSent,
+		"forgets_sent", p.scheduling.ForgetsSent,
+		"direct_requests", p.scheduling.DirectRequests,
+		"requests_refused", p.scheduling.RequestsRefused,
+		"requests_unknown", p.scheduling.RequestsUnknown,
 	}
 }
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -91,6 +92,7 @@
 		o.releaseIfSuperseded(verdict, permissions)
 		return peerrpc.HeartbeatResult{Response: response}
 	}
+	o.logCommands(context.Background(), heartbeat.Machine, viaHeartbeat, response.FencingToken, response.Commands)
 	o.controller.commandSlots.resetBackoff(heartbeat.Machine)
 	// Most heartbeats change nothing, and a scheduling cycle for each of them would cost too
 	// much on a small processor.
--- a/internal/controller/partition_load.go
+++ b/internal/controller/partition_load.go
@@ -49,7 +49,8 @@
 	partition.SetCancelledJobs(o.cancelledJobs(listed.cancellations), now)
 	o.publish(partition, listed.cancellationsReadAt)
 	slog.Info("partition loaded",
-		"partition", o.index, "jobs", partition.JobCount(), "machines", partition.MachineCount())
+		"partition", o.index, "jobs", partition.JobCount(), "machines", partition.MachineCount(),
+		"claim", o.revision, "revision", listed.revision)
 	o.requestCycle()
 	return listed.revision, nil
 }
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -17,12 +17,13 @@
 		}
 		if command, due := p.stopOrForgetCommand(machine, &heartbeat.Tasks[i], now); due {
 			commands = append(commands, command)
+			p.Counters.countCommand(command.Op)
 		}
 	}
 	if !cancellationsFresh || !machine.acceptsStarts() || machine.command.pending() {
 		return commands
 	}
-	return appendStartCommands(commands, machine, heartbeat.Sequence)
+	return p.appendStartCommands(commands, machine, heartbeat.Sequence)
 }
 
 // stopOrForgetCommand returns the command that stops a task on the worker's list or makes the
@@ -64,7 +65,7 @@
 // because the response with the command may have been lost. The worker cannot execute the command
 // twice, because it sends its next heartbeat only after it has executed the commands of the last
 // response.
-func appendStartCommands(commands []wire.Command, machine *Machine, sequence uint64) []wire.Command {
+func (p *Partition) appendStartCommands(commands []wire.Command, machine *Machine, sequence uint64) []wire.Command {
 	for _, key := range machine.startableTasks() {
 		if len(commands) >= tuning.MaxCommandsPerResponse {
 			break
@@ -73,6 +74,7 @@
 		placement.start.sent = true
 		placement.start.heartbeatSequence = sequence
 		commands = append(commands, newCommand(wire.StartTask, key))
+		p.Counters.countCommand(wire.StartTask)
 	}
 	return commands
 }
@@ -194,6 +196,7 @@
 		}
 		if command, due := machine.placements[key].directCommand(key, cancellationsFresh); due {
 			request.Commands = append(request.Commands, command)
+			p.Counters.countCommand(command.Op)
 		}
 	}
 	return request, len(request.Commands) > 0
@@ -250,6 +253,7 @@
 			placement.recordStartOutcome(outcome)
 		}
 	}
+	p.Counters.countOutcome(outcome)
 	if machine.command.inFlight {
 		machine.command.inFlight = false
 		p.capacityVersion++
--- a/internal/scheduler/partition.go
+++ b/internal/scheduler/partition.go
@@ -43,19 +43,6 @@
 	conversion formatConversion
 }
 
-// Counters counts events of a partition since this node became its owner.
-type Counters struct {
-	Placed           int // placements made
-	Finished         int // tasks that completed successfully
-	Requeued         int // placements that ended before their task was done
-	Preempted        int // placements stopped in favor of other jobs
-	Moved            int // placements stopped in order to empty their machine
-	JournalRecords   int // journal records written
-	Compactions      int // chunk records written
-	GangReservations int // times that machines were reserved for a starved gang
-	GangTimeouts     int // gang tasks that timed out waiting for the other tasks of their gang
-}
-
 // NewPartition returns an empty partition. revision is the revision of the owner record.
 func NewPartition(index int, revision uint64, settings *config.Settings, tunables *tuning.Tuning) *Partition {
 	p := &Partition{
