Forget tasks only under a higher token than that of the request that started them

Cause: the owner took the answer for the end of the request. It raised a machine's fencing token only for requests without an answer, so every clear let a worker execute a copy of the answered start again, under the same token and incarnation.

Fix: the response that tells a worker to forget a task has the revision of the owner's newest commit as its token, which is above all tokens given out before and below any later claim. The worker takes both from one message, and refuses copies from then on. The owner need not wait until the worker has shown the token: the messages that must be shown are those against other owners and requests without an answer, as before (tokenState.required). A request in flight blocks a raise, and one that is refused for a token of the same owner is sent again at once, without back-off.

--- a/internal/controller/command_log.go
+++ b/internal/controller/command_log.go
@@ -16,8 +16,7 @@
 	viaRequest   commandPath = "request"   // in a direct request
 )
 
-// logCommands logs each command to a worker, with its fencing token and the age of the listing of
-// cancellations. The
+// logCommands logs each command to a worker together with the state on which it was decided. The
 // caller must hold o.mu.
 func (o *ownedPartition) logCommands(
 	ctx context.Context, machine string, via commandPath, token uint64, commands []wire.Command,
@@ -27,9 +26,11 @@
 	}
 	listingAge := time.Since(o.cancellationsReadAt)
 	for _, command := range commands {
+		evidence := o.partition.Evidence(machine, command)
 		slog.Debug("command to worker",
 			"partition", o.index, "machine", machine, "operation", string(command.Op),
 			"task", command.Task, "attempt", command.Attempt, "via", string(via), "token", token,
+			"start_token", evidence.StartToken, "newest_commit", evidence.NewestCommit,
 			"cancellations_age_ms", listingAge.Milliseconds())
 	}
 }
--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -11,6 +11,10 @@
 	"ambersill/internal/workerclient"
 )
 
+// maxOutdatedRequests is how often commands are sent directly to a worker that refuses each request
+// because it has seen a higher token of this owner by then.
+const maxOutdatedRequests = 3
+
 // sendCommands sends commands to start and stop tasks to workers without waiting for their next
 // heartbeats. Commands for which no slot is free are sent in a later scheduling cycle, or in
 // the response to a heartbeat. While the owner's listing of cancellations is too old to start
@@ -55,14 +59,20 @@
 // sendCommandsTo sends the pending commands of a machine to its worker, and reports whether the
 // worker has executed them. It returns true if there is nothing to send.
 func (o *ownedPartition) sendCommandsTo(ctx context.Context, id, address string) (executed bool) {
-	request, ok := o.nextRequest(ctx, id)
-	if !ok {
-		return true
+	for range maxOutdatedRequests {
+		request, ok := o.nextRequest(ctx, id)
+		if !ok {
+			return true
+		}
+		heartbeat, executed, err := o.controller.workers.SendCommands(ctx, address, request)
+		logRequestOutcome(id, request, heartbeat, executed, err)
+		outdated := o.handleCommandResponse(id, request, heartbeat, commandOutcome(executed, err))
+		if !outdated {
+			return executed
+		}
 	}
-	heartbeat, executed, err := o.controller.workers.SendCommands(ctx, address, request)
-	logRequestOutcome(id, request, heartbeat, executed, err)
-	o.handleCommandResponse(id, request, heartbeat, commandOutcome(executed, err))
-	return executed
+	// The worker answers, and receives the commands with its next heartbeat.
+	return true
 }
 
 // nextRequest returns the request with a machine's pending commands. The result is false if there are
@@ -91,15 +101,18 @@
 }
 
 // handleCommandResponse updates the partition from the outcome of a request and from the
-// heartbeat in the worker's response. The heartbeat is nil if there was no response.
+// heartbeat in the worker's response. The heartbeat is nil if there was no response. outdated is set
+// if the commands may be sent again at once, under a token that was raised meanwhile.
 func (o *ownedPartition) handleCommandResponse(
 	id string, request wire.CommandRequest, heartbeat *wire.Heartbeat, outcome scheduler.CommandOutcome,
-) {
+) (outdated bool) {
 	o.mu.Lock()
 	o.partition.HandleCommandOutcome(request, id, outcome)
 	if heartbeat != nil {
+		outdated = outcome == scheduler.CommandsNotExecuted && o.partition.IsOutdated(request, heartbeat)
 		o.partition.HandleCommandResponse(heartbeat, time.Now())
 	}
 	o.mu.Unlock()
 	o.requestCycle()
+	return outdated
 }
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -116,5 +116,6 @@
 		"direct_requests", p.scheduling.DirectRequests,
 		"requests_refused", p.scheduling.RequestsRefused,
 		"requests_unknown", p.scheduling.RequestsUnknown,
+		"tokens_raised", p.scheduling.TokensRaised,
 	}
 }
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -79,6 +79,8 @@
 		return executed
 	}
 	o.mu.Lock()
+	// A worker that has seen a higher token of this owner needs no other request.
+	executed = executed || o.partition.IsOutdated(request, heartbeat)
 	o.partition.HandleCommandResponse(heartbeat, time.Now())
 	o.mu.Unlock()
 	o.requestCycle()
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -109,6 +109,24 @@
 	return script
 }
 
+// randomCommandCopies returns a script in which workers execute late copies of command requests in
+// some periods of the time window. Its random numbers come from a stream of their own, so that the
+// other faults of a seed stay as they are.
+func randomCommandCopies(seed uint64, window time.Duration) []emulator.Fault {
+	random := rand.New(rand.NewPCG(seed, commandCopyStream))
+	var script []emulator.Fault
+	for at := randomDuration(random, 10, 30); at < window; at += randomDuration(random, 15, 60) {
+		script = append(script, emulator.Fault{
+			Start:       at,
+			Kind:        emulator.LateCommandCopies,
+			ActiveFor:   randomDuration(random, 3, 30),
+			Probability: 0.1 + 0.4*random.Float64(),
+			Delay:       randomDuration(random, 1, 100),
+		})
+	}
+	return script
+}
+
 // seedCount returns the number of seeds that a test with random faults runs: the value of SEEDS
 // if it is a valid number, otherwise defaultCount.
 func seedCount(defaultCount int) int {
@@ -153,6 +171,7 @@
 			cluster.injectRequestFaults()
 			cluster.startNodes()
 			go cluster.injectRandomFaults(uint64(seed), 4*time.Minute)
+			go cluster.injector.Run(cluster.ctx, randomCommandCopies(uint64(seed), 4*time.Minute)...)
 			cluster.submitRandomJobs(40, 4*time.Minute)
 			time.Sleep(time.Minute)
 			cluster.endFaults()
@@ -177,7 +196,8 @@
 
 // runWithFaultPairs runs a scenario with a script of random pairs of overlapping faults.
 func runWithFaultPairs(t *testing.T, random *rand.Rand, scenario *faultScenario) {
-	scenario.script = randomFaultPairs(random, 3*time.Minute)
+	const window = 3 * time.Minute
+	scenario.script = append(randomFaultPairs(random, window), randomCommandCopies(scenario.seed, window)...)
 	defer logScriptOnFailure(t, scenario.script) // a simulation that fails ends the test
 	scenario.run(t)
 }
--- a/internal/controller/simulated_cluster_test.go
+++ b/internal/controller/simulated_cluster_test.go
@@ -36,6 +36,7 @@
 	upgradePairStream  uint64 = 9
 	replicaExitStream  uint64 = 10
 	quietClusterStream uint64 = 11
+	commandCopyStream  uint64 = 12
 )
 
 // Addresses of the emulated external systems.
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -33,7 +33,7 @@
 	placement := machine.placements[key]
 	switch {
 	case status.State == wire.TaskExited:
-		return newCommand(wire.ForgetTask, key), machine.mayForget(key)
+		return newCommand(wire.ForgetTask, key), p.mayForget(machine, key)
 	case placement == nil:
 		// There is no placement for the task, because its job was cancelled or has ended,
 		// or because the attempt was abandoned.
@@ -47,17 +47,6 @@
 	return wire.Command{}, false
 }
 
-// mayForget reports whether the worker may forget an exited task. It must not while a direct
-// request may still be executed, because a delayed copy of the request could start the task again.
-func (m *Machine) mayForget(key taskAttempt) bool {
-	if m.command.pending() {
-		return false
-	}
-	forget, known := m.pendingForgets[key]
-	// If no forget is pending, the end of the task was committed before.
-	return !known || forget.isEndCommitted()
-}
-
 // appendStartCommands appends start commands for the machine's tasks, up to MaxCommandsPerResponse
 // commands in total. sequence is the sequence number of the heartbeat to which they respond.
 //
@@ -70,6 +59,10 @@
 		if len(commands) >= tuning.MaxCommandsPerResponse {
 			break
 		}
+		// The worker may drop an earlier attempt once it starts this one.
+		if !p.supersedeToken(machine, machine.exitedAttemptToken(key.task)) {
+			continue
+		}
 		placement := machine.placements[key]
 		placement.start.sent = true
 		placement.start.heartbeatSequence = sequence
@@ -109,7 +102,7 @@
 // sent yet. A start command is repeated only in the response to a heartbeat, and only if the
 // heartbeat shows that the earlier command was not executed.
 func (pl *Placement) startUnsent() bool {
-	return !pl.start.sent && pl.machine.acceptsStarts() && pl.startPermitted()
+	return !pl.start.sent && pl.machine.acceptsDirectStarts() && pl.startPermitted()
 }
 
 // stopUnsent reports whether a stop command for the placement is still to be sent. If
@@ -169,6 +162,11 @@
 	return m.token.acknowledged && !m.command.pending()
 }
 
+// acceptsDirectStarts reports whether tasks may be started on the machine by a direct request.
+func (m *Machine) acceptsDirectStarts() bool {
+	return m.acceptsStarts() && len(m.pendingForgets) < maxExitedTasks
+}
+
 // hasUnsentCommands reports whether a start or stop command for the machine is still to be sent.
 // See HandleHeartbeat for the meaning of cancellationsFresh.
 func (m *Machine) hasUnsentCommands(cancellationsFresh bool) bool {
@@ -182,8 +180,8 @@
 
 // DirectCommands returns a request with the start and stop commands to send directly to a machine.
 // The result is false if there are none. Until a request with start commands is answered, no other
-// task is started or forgotten on the machine, because a delayed copy of the request could start a
-// task again after the worker forgot it. See HandleHeartbeat for the meaning of cancellationsFresh.
+// task is started or forgotten on the machine. Copies of it may be executed after the answer, too: see
+// supersedeToken. See HandleHeartbeat for the meaning of cancellationsFresh.
 func (p *Partition) DirectCommands(id string, cancellationsFresh bool) (wire.CommandRequest, bool) {
 	machine := p.machines.get(id)
 	if machine == nil || !machine.acceptsDirectCommands() {
@@ -194,33 +192,52 @@
 		if len(request.Commands) >= tuning.MaxCommandsPerResponse {
 			break
 		}
-		if command, due := machine.placements[key].directCommand(key, cancellationsFresh); due {
+		if command, due := p.directCommand(machine.placements[key], cancellationsFresh); due {
 			request.Commands = append(request.Commands, command)
 			p.Counters.countCommand(command.Op)
 		}
 	}
-	return request, len(request.Commands) > 0
+	if len(request.Commands) == 0 {
+		return request, false
+	}
+	request.FencingToken = machine.token.current // a start may have raised it
+	machine.markRequestSent(request)
+	return request, true
 }
 
-// directCommand returns the placement's command for a direct request, and records that it is sent.
-// due is false if there is none.
-func (pl *Placement) directCommand(key taskAttempt, cancellationsFresh bool) (command wire.Command, due bool) {
+// directCommand returns the placement's command for a direct request. due is false if there is none.
+func (p *Partition) directCommand(placement *Placement, cancellationsFresh bool) (command wire.Command, due bool) {
+	key := placement.taskAttempt()
 	switch {
-	case pl.stopUnsent(cancellationsFresh):
-		pl.stopRequest.sent = true
+	case placement.stopUnsent(cancellationsFresh):
 		command = newCommand(wire.StopTask, key)
-		command.GracePeriodS = pl.stopRequest.gracePeriodS
+		command.GracePeriodS = placement.stopRequest.gracePeriodS
 		return command, true
-	case cancellationsFresh && pl.startUnsent():
-		pl.start.sent = true
-		pl.start.heartbeatSequence = pl.machine.newestMessage.heartbeatSequence
-		pl.start.directToken = pl.machine.token.current
-		pl.machine.command.inFlight = true
-		return newCommand(wire.StartTask, key), true
+	case cancellationsFresh && placement.startUnsent():
+		// The worker may drop an earlier attempt once it starts this one.
+		earlierToken := placement.machine.exitedAttemptToken(key.task)
+		return newCommand(wire.StartTask, key), p.supersedeToken(placement.machine, earlierToken)
 	}
 	return wire.Command{}, false
 }
 
+// markRequestSent records that a request is in flight.
+func (m *Machine) markRequestSent(request wire.CommandRequest) {
+	m.command.requestInFlight = true
+	for _, command := range request.Commands {
+		placement := m.placements[taskAttempt{command.Task, command.Attempt}]
+		if command.Op == wire.StopTask {
+			placement.stopRequest.sent = true
+			continue
+		}
+		placement.start.sent = true
+		placement.start.heartbeatSequence = m.newestMessage.heartbeatSequence
+		placement.start.directToken = request.FencingToken
+		m.command.startsInFlight = true
+		m.command.lastStartToken = request.FencingToken
+	}
+}
+
 // CommandOutcome is the outcome of a command request, as far as the sender knows it.
 type CommandOutcome int
 
@@ -249,17 +266,28 @@
 		if command.Op == wire.StopTask && outcome == CommandsNotExecuted {
 			placement.resendStop()
 		}
-		if command.Op == wire.StartTask && machine.command.inFlight {
+		if command.Op == wire.StartTask && machine.command.startsInFlight {
 			placement.recordStartOutcome(outcome)
 		}
 	}
 	p.Counters.countOutcome(outcome)
-	if machine.command.inFlight {
-		machine.command.inFlight = false
+	machine.command.requestInFlight = false
+	if machine.command.startsInFlight {
+		machine.command.startsInFlight = false
 		p.capacityVersion++
 	}
 }
 
+// IsOutdated reports whether a worker refused a request only because it had seen a higher token of
+// this owner by then. It has executed none of the commands, and executes them under that token.
+func (p *Partition) IsOutdated(request wire.CommandRequest, response *wire.Heartbeat) bool {
+	machine := p.machines.get(response.Machine)
+	if machine == nil || machine.isSuperseded(response) {
+		return false
+	}
+	return response.Incarnation == request.Incarnation && response.FencingToken > request.FencingToken
+}
+
 // resendStop marks the placement's stop command, if any, to be sent again.
 func (pl *Placement) resendStop() {
 	if pl.stopRequest != nil {
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -10,6 +10,7 @@
 
 // ConfirmBatch updates the partition after a batch was committed at the given revision.
 func (p *Partition) ConfirmBatch(batch *Batch, revision uint64) {
+	p.recordCommit(revision)
 	p.confirmJournal(batch, revision)
 	p.confirmChunks(batch, revision)
 	for _, chunk := range batch.deletedChunks {
--- a/internal/scheduler/counters.go
+++ b/internal/scheduler/counters.go
@@ -22,6 +22,9 @@
 	DirectRequests  int
 	RequestsRefused int
 	RequestsUnknown int
+	// TokensRaised is the number of times that a machine's token was raised to have late copies of
+	// direct requests refused.
+	TokensRaised int
 }
 
 // countCommand counts a command that is sent.
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -58,13 +58,14 @@
 	p.renewLease(machine, now)
 	p.setTerminationNotice(machine, heartbeat.TerminationNoticeS != nil)
 	p.acknowledgeToken(machine, heartbeat, now)
-	awaitingToken := !machine.token.isCarriedBy(heartbeat) || machine.command.unconfirmed
+	awaitingToken := !machine.token.isShownBy(heartbeat) || machine.command.unconfirmed
 	machine.token.trackAcknowledgement(awaitingToken, now)
 	p.reconcileTasks(machine, heartbeat, now)
 	if machine.terminationNotice {
 		p.evacuateOnNotice(machine, now)
 	}
 	response.Commands = p.heartbeatCommands(machine, heartbeat, now, cancellationsFresh)
+	response.FencingToken = machine.token.current // the commands may have raised it
 	return HeartbeatAccepted, response
 }
 
@@ -144,9 +145,9 @@
 	}
 }
 
-// acknowledgeToken records that the worker has seen the current token if the message carries it.
+// acknowledgeToken records that the worker has seen the required token if the message shows it.
 func (p *Partition) acknowledgeToken(machine *Machine, message *wire.Heartbeat, now time.Time) {
-	if !machine.token.isCarriedBy(message) {
+	if !machine.token.isShownBy(message) {
 		return
 	}
 	if !machine.token.everAcknowledged {
@@ -155,7 +156,7 @@
 		machine.token.everAcknowledged = true
 		machine.lease.lastAnsweredAt = now
 	}
-	if machine.command.isResolvedBy(machine.token.current) {
+	if machine.command.isResolvedBy(message.FencingToken) {
 		machine.command.unconfirmed = false
 		p.capacityVersion++
 	}
--- a/internal/scheduler/journal_writer.go
+++ b/internal/scheduler/journal_writer.go
@@ -98,10 +98,19 @@
 	if w.record == nil || len(w.record.Entries) == 0 {
 		return
 	}
-	sequence := w.record.Sequence
-	journal := &w.builder.partition.journal
-	w.builder.put(journal.key(sequence), journal.revision(sequence), *w.record)
-	w.builder.batch.journalSequences = append(w.builder.batch.journalSequences, sequence)
+	w.builder.putJournalRecord(*w.record)
 	w.builder.sizeBound += w.sizeBound
 	w.record = nil
 }
+
+// putJournalRecord adds the write of a journal record.
+func (b *batchBuilder) putJournalRecord(record records.JournalRecord) {
+	journal := &b.partition.journal
+	b.put(journal.key(record.Sequence), journal.revision(record.Sequence), record)
+	b.batch.journalSequences = append(b.batch.journalSequences, record.Sequence)
+}
+
+// appendEmptyJournalRecord adds a journal record without entries.
+func (b *batchBuilder) appendEmptyJournalRecord() {
+	b.putJournalRecord(records.JournalRecord{Sequence: b.partition.journal.nextSequence(), Entries: []records.JournalEntry{}})
+}
--- a/internal/scheduler/partition.go
+++ b/internal/scheduler/partition.go
@@ -38,6 +38,12 @@
 	cycleStartedAt     time.Time  // start of the current scheduling cycle
 	lastConsolidatedAt time.Time
 
+	// newestCommit is the highest revision at which a commit of this owner was applied; before
+	// the first commit, that of the claim. commitNeeded is set if a newer one is needed, although
+	// nothing may have changed.
+	newestCommit uint64
+	commitNeeded bool
+
 	layout     chunkLayout
 	journal    journal
 	conversion formatConversion
@@ -55,6 +61,7 @@
 		teams:        map[string]*quota.Team{},
 		tombstones:   newTombstones(),
 		machines:     newMachineSet(),
+		newestCommit: revision,
 		layout:       newChunkLayout(index, settings),
 		journal:      newJournal(index, tuning.JournalSlots),
 	}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -6,19 +6,6 @@
 	"ambersill/internal/wire"
 )
 
-// pendingForget is an exited task that its worker may forget once the end of the task is committed.
-// If the worker forgot it earlier, the next owner would consider the task lost.
-type pendingForget struct {
-	job          *Job
-	task         int
-	chunkVersion int // a change version of the task's chunk that includes the end of the task
-}
-
-// isEndCommitted reports whether the end of the task is committed.
-func (f pendingForget) isEndCommitted() bool {
-	return f.job.finalized || f.job.chunkOf(f.task).committedVersion >= f.chunkVersion
-}
-
 // reconcileTasks updates the machine's placements from the task list of a worker's message.
 func (p *Partition) reconcileTasks(machine *Machine, message *wire.Heartbeat, now time.Time) {
 	machine.taskListCount++
@@ -50,6 +37,7 @@
 		job:          placement.job,
 		task:         placement.task,
 		chunkVersion: placement.chunk().changeVersion,
+		directToken:  placement.start.directToken,
 	}
 }
 
@@ -95,14 +83,14 @@
 		// commands for that incarnation.
 		return true
 	}
-	if !m.token.isCarriedBy(message) {
+	if !m.token.isShownBy(message) {
 		// A command from an earlier owner, or from a request that was not answered, may
 		// still be in transit.
 		return false
 	}
-	if placement.start.directToken > 0 && placement.start.directToken < m.token.current {
-		// The request with the start command was never answered, and the worker ignores
-		// requests with a lower token.
+	if placement.start.directToken > 0 && placement.start.directToken < message.FencingToken {
+		// The worker ignores the request with the start command, should it not have arrived
+		// before the message was sent.
 		return true
 	}
 	// Commands with a lower token can no longer take effect, so a task that was observed and is
@@ -117,21 +105,3 @@
 		return placement.lastTaskListNumber != m.taskListCount
 	})
 }
-
-// removeCompletedForgets removes the pending forgets of tasks that the worker no longer lists. A
-// message with an older token is ignored, because its list may have been sent before the task was
-// started.
-func (m *Machine) removeCompletedForgets(message *wire.Heartbeat) {
-	if len(m.pendingForgets) == 0 || !m.token.isCarriedBy(message) {
-		return
-	}
-	listed := make(map[taskAttempt]bool, len(message.Tasks))
-	for i := range message.Tasks {
-		listed[taskAttempt{message.Tasks[i].Task, message.Tasks[i].Attempt}] = true
-	}
-	for key := range m.pendingForgets {
-		if !listed[key] {
-			delete(m.pendingForgets, key)
-		}
-	}
-}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -43,7 +43,7 @@
 // NeedsScheduling reports whether a change since the last scheduling cycle requires another one
 // immediately. Changes that are due to elapsed time alone wait for the next periodic cycle.
 func (p *Partition) NeedsScheduling() bool {
-	return p.journal.hasDirtyChunks() || p.capacityVersion != p.scheduledVersion
+	return p.journal.hasDirtyChunks() || p.capacityVersion != p.scheduledVersion || p.commitNeeded
 }
 
 // collectCandidates sets p.candidates to the usable machines that have free CPUs.
--- a/internal/scheduler/worker_state.go
+++ b/internal/scheduler/worker_state.go
@@ -52,9 +52,12 @@
 // tokenState is a machine's fencing token and its acknowledgement by the worker. A worker refuses
 // commands whose token is lower than the highest token it has seen.
 type tokenState struct {
-	current uint64
-	// acknowledged is set once a message that carries the current token has arrived. Commands
-	// of earlier owners have then either taken effect or never will.
+	current uint64 // the token of all messages to the worker
+	// required is the lowest token that a message of the worker must carry to show that commands
+	// of earlier owners, and those of requests that were not answered, can no longer take effect.
+	required uint64
+	// acknowledged is set once a message that carries at least the required token has arrived.
+	// Commands of earlier owners have then either taken effect or never will.
 	acknowledged bool
 	// everAcknowledged is set once any token of this owner has been acknowledged.
 	everAcknowledged bool
@@ -66,14 +69,19 @@
 // raise sets the token if it is higher than the current one. The worker must then acknowledge it.
 func (t *tokenState) raise(token uint64) {
 	if token > t.current {
-		t.current = token
+		t.current, t.required = token, token
 		t.acknowledged = false
 	}
 }
 
-// isCarriedBy reports whether the message carries the current token.
-func (t *tokenState) isCarriedBy(message *wire.Heartbeat) bool {
-	return message.FencingToken == t.current
+// supersede sets the token if it is higher than the current one, for requests of this owner that were
+// answered and must not be executed again. The worker need not acknowledge it: whichever message
+// shows it first, those requests are refused from then on.
+func (t *tokenState) supersede(token uint64) { t.current = max(t.current, token) }
+
+// isShownBy reports whether the message carries the required token or a higher one.
+func (t *tokenState) isShownBy(message *wire.Heartbeat) bool {
+	return message.FencingToken >= t.required
 }
 
 // trackAcknowledgement updates unacknowledgedSince after a heartbeat. awaiting reports whether the
@@ -103,8 +111,12 @@
 // commandState is the state of the commands that were sent to a machine in a direct request instead
 // of the response to a heartbeat.
 type commandState struct {
-	// inFlight is set while a request with start commands is in transit or being executed.
-	inFlight bool
+	// requestInFlight is set while a request is in transit or being executed, startsInFlight while
+	// a request with start commands is.
+	requestInFlight bool
+	startsInFlight  bool
+	// lastStartToken is the token of the newest request with start commands.
+	lastStartToken uint64
 	// unconfirmed is set if the answer to a request did not arrive, or if the worker receives no
 	// responses. Commands sent under unconfirmedToken may be executed until the worker has seen a
 	// higher token.
@@ -118,8 +130,9 @@
 	c.unconfirmedToken = token
 }
 
-// pending reports whether the worker may still execute commands of a direct request.
-func (c *commandState) pending() bool { return c.inFlight || c.unconfirmed }
+// pending reports whether the worker may still execute start commands of a direct request for the
+// first time.
+func (c *commandState) pending() bool { return c.startsInFlight || c.unconfirmed }
 
 // isResolvedBy reports whether there are unconfirmed commands that a worker can no longer execute
 // once it has seen the token.
