--- a/internal/controller/simulated_cluster_test.go
+++ b/internal/controller/simulated_cluster_test.go
@@ -72,6 +72,12 @@
 	simulation *emulator.Simulation
 	injector   *emulator.FaultInjector
 
+	// interceptedHandlers are the handlers of the key-value store and the cloud.
+	interceptedHandlers []*http.Handler
+	// repeatUserRequests are the times after which users repeat submissions and cancellations that
+	// were answered.
+	repeatUserRequests []time.Duration
+
 	noTeamLimits bool // teams have no quotas, so jobs use all partitions
 	// pollAllNodes makes users poll all nodes and submit again after each new phase, and cancel
 	// done jobs.
@@ -84,6 +90,8 @@
 
 	mu         sync.Mutex
 	crashFuncs map[int]func() // by index of a running node; kills its controller
+	// terminateFuncs has, by index of a running node, functions that have its controller shut down.
+	terminateFuncs map[int]func()
 	// oldVersionNodes has the value true for nodes, by index, that do not support the newest
 	// feature level.
 	oldVersionNodes map[int]bool
@@ -129,14 +137,16 @@
 		store:        emulator.NewKeyValueStore(),
 		noTeamLimits: seed%3 == 2,
 		crashFuncs:   map[int]func(){},
-		cancelFuncs:  map[string]func(){},
-		finalPhases:  map[string]wire.JobPhase{},
+
+		terminateFuncs: map[int]func(){},
+		cancelFuncs:    map[string]func(){},
+		finalPhases:    map[string]wire.JobPhase{},
 	}
 	cluster.simulation = cluster.newSimulation()
 	cluster.cloud = cluster.newCloud()
 	cluster.store.OnPut = cluster.checkStoreChange
-	cluster.serveHost("state", storeAddr, cluster.store.Handler())
-	cluster.serveHost("cloud", cloudAddr, cluster.cloud.Handler())
+	cluster.serveHost("state", storeAddr, cluster.intercepted(cluster.store.Handler()))
+	cluster.serveHost("cloud", cloudAddr, cluster.intercepted(cluster.cloud.Handler()))
 	cluster.injector = cluster.newInjector(seed)
 	cluster.injector.Attach()
 	return cluster
@@ -226,6 +236,20 @@
 	}
 }
 
+// interceptRequests has the handlers of the key-value store and the cloud replaced by those that wrap
+// returns for them. It must be called before the controllers start.
+func (cluster *simulatedCluster) interceptRequests(wrap func(handler http.Handler) http.Handler) {
+	for _, handler := range cluster.interceptedHandlers {
+		*handler = wrap(*handler)
+	}
+}
+
+// intercepted returns a handler that interceptRequests can replace.
+func (cluster *simulatedCluster) intercepted(handler http.Handler) http.Handler {
+	cluster.interceptedHandlers = append(cluster.interceptedHandlers, &handler)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) })
+}
+
 // serveHost serves an emulated system on its own host of the emulated network.
 func (cluster *simulatedCluster) serveHost(name, addr string, handler http.Handler) {
 	host := cluster.network.Host(name)
@@ -320,23 +344,37 @@
 		cancel()
 		<-ended
 	}
+	cluster.terminateFuncs[node] = func() {
+		crashed.Store(true)
+		cancel()
+		<-ended
+		host.Shutdown()
+	}
 	go func() {
 		defer close(ended)
 		if err := controller.Run(ctx); err != nil && !crashed.Load() {
 			cluster.t.Errorf("controller of node-%d exited without being stopped: %v", node, err)
 		}
 	}()
-	context.AfterFunc(ctx, host.Shutdown)
+	context.AfterFunc(cluster.ctx, host.Shutdown)
 }
 
 // crashNode kills a node's controller if it is running.
-func (cluster *simulatedCluster) crashNode(node int) {
+func (cluster *simulatedCluster) crashNode(node int) { cluster.stopNode(node, cluster.crashFuncs) }
+
+// terminateNode has a node's controller shut down if it is running, as SIGTERM does.
+func (cluster *simulatedCluster) terminateNode(node int) {
+	cluster.stopNode(node, cluster.terminateFuncs)
+}
+
+// stopNode calls the function in stopFuncs that stops a node, if the node is running.
+func (cluster *simulatedCluster) stopNode(node int, stopFuncs map[int]func()) {
 	cluster.mu.Lock()
-	crash := cluster.crashFuncs[node]
-	cluster.crashFuncs[node] = nil
+	stop := stopFuncs[node]
+	cluster.crashFuncs[node], cluster.terminateFuncs[node] = nil, nil
 	cluster.mu.Unlock()
-	if crash != nil {
-		crash()
+	if stop != nil {
+		stop()
 	}
 }
 
--- a/internal/controller/simulated_jobs_test.go
+++ b/internal/controller/simulated_jobs_test.go
@@ -173,6 +173,7 @@
 		CancelSignal:   cancel,
 		PollAllNodes:   cluster.pollAllNodes,
 		CancelWhenDone: cluster.pollAllNodes,
+		RepeatAfter:    cluster.repeatUserRequests,
 		PickNode:       func() emulator.Node { return cluster.nodes[random.IntN(len(cluster.nodes))] },
 	}
 	cluster.background.Go(func() {
--- a/internal/emulator/user.go
+++ b/internal/emulator/user.go
@@ -28,6 +28,9 @@
 	// CancelWhenDone makes the user request the cancellation of a job that is done, which must
 	// not change its phase.
 	CancelWhenDone bool
+	// RepeatAfter has the times after which late copies of submissions and cancellations that were
+	// answered reach some node.
+	RepeatAfter []time.Duration
 }
 
 const (
@@ -129,9 +132,30 @@
 	node, sent := s.PickNode(), time.Now()
 	answer, status := s.send(ctx, s.client, node, http.MethodPost, path, body, submitTimeout)
 	s.Simulation.traceRequest(s.job.ID, node, path, status, sent)
+	if status == http.StatusOK || status == http.StatusCreated {
+		s.repeatChange(ctx, path, body)
+	}
 	return answer, status
 }
 
+// repeatChange sends late copies of a request that was answered, each to some node, and records the
+// answers.
+func (s *session) repeatChange(ctx context.Context, path string, body any) {
+	for _, delay := range s.RepeatAfter {
+		node := s.PickNode()
+		go func() {
+			transport.Pause(ctx, delay)
+			if ctx.Err() != nil {
+				return
+			}
+			client, sent := s.newClient(), time.Now()
+			defer client.CloseIdleConnections()
+			answer, status := s.send(ctx, client, node, http.MethodPost, path, body, submitTimeout)
+			s.recordAnswer(s.job.ID, answer, status, sent)
+		}()
+	}
+}
+
 // poll requests the job's status once, and returns its phase, or "" if the request failed.
 func (s *session) poll(ctx context.Context) wire.JobPhase {
 	sent := time.Now()
--- a/internal/scheduler/commands_test.go
+++ b/internal/scheduler/commands_test.go
@@ -165,3 +165,25 @@
 		t.Error("cancelled job is still known after a commit, want it removed and its records deleted")
 	}
 }
+
+// A late copy of the call that announces a cancellation changes nothing, whether the job's tasks are
+// being stopped or its records are deleted.
+func TestRepeatedCancellationChangesNothing(t *testing.T) {
+	harness := newHarnessWithPlacedJob(1)
+	harness.sendHeartbeat("m-1")
+	if !harness.CancelJob("req-1", harness.now) {
+		t.Fatal("cancellation of a job changes something: got false, want true")
+	}
+	harness.sendHeartbeat("m-1")
+	if harness.CancelJob("req-1", harness.now) {
+		t.Error("repeated cancellation of a job changes something: got true, want false")
+	}
+	harness.sendHeartbeat("m-1")
+	harness.commitBatches()
+	if harness.CancelJob("req-1", harness.now) {
+		t.Error("cancellation of a job without records changes something: got true, want false")
+	}
+	if batch := harness.PrepareBatch(); !batch.Empty() {
+		t.Errorf("writes after the repeated cancellation: got %v, want none", batch.Txn.Writes)
+	}
+}
