--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -85,7 +85,8 @@
 
 // PrepareBatch collects changes for one transaction. In this order, it adds the end of a job,
 // chunks whose compaction is due, journal records, and deletions of records that are no longer
-// needed. If there are none although a commit is needed, it adds an empty journal record. Each batch is fenced by the revision of the partition's ownership.
+// needed. If there are none although a commit is needed, it adds an empty journal record. Each batch
+// is fenced by the revision of the partition's ownership.
 func (p *Partition) PrepareBatch() *Batch {
 	ownership := wire.Compare{Key: records.PartitionKey(p.Index), Revision: p.Revision}
 	builder := &batchBuilder{
@@ -95,12 +96,13 @@
 	}
 	jobIDs := slices.Sorted(maps.Keys(p.jobs))
 	builder.addJobEnd(jobIDs)
-	if builder.compact() {
+	canAppend := builder.compact()
+	if canAppend {
 		builder.appendJournalRecords()
 	}
 	builder.deleteFinalizedJobRecords()
 	builder.deleteCancelledJobs(jobIDs)
-	if p.commitNeeded && builder.batch.Empty() {
+	if p.commitNeeded && canAppend && builder.batch.Empty() {
 		builder.appendEmptyJournalRecord()
 	}
 	builder.batch.Full = builder.batch.Full || builder.isFull()
--- a/internal/scheduler/journal_test.go
+++ b/internal/scheduler/journal_test.go
@@ -112,6 +112,7 @@
 		commitConfirmed, commitConfirmed, commitConfirmed, commitUnknown, commitDelayed, commitRefused,
 	})
 	for range 4 {
+		test.owner.commitNeeded = rapid.Bool().Draw(test.t, "commit is needed")
 		batch := test.owner.PrepareBatch()
 		if batch.Empty() {
 			return
