--- a/internal/controller/command_copies_test.go
+++ b/internal/controller/command_copies_test.go
@@ -16,8 +16,8 @@
 )
 
 // commandCopyDelays are the times after which a copy of each command request is executed. The last
-// one is longer than the deadline of cancellations together with the jobs of these tests.
-var commandCopyDelays = []time.Duration{150 * time.Millisecond, second, 4 * second, 15 * second, 70 * second}
+// two are longer than the deadline of cancellations.
+var commandCopyDelays = []time.Duration{150 * time.Millisecond, second, 4 * second, 15 * second, 70 * second, 150 * second}
 
 // commandCopyTest is a workload whose tasks leave their machines in one way.
 type commandCopyTest struct {
