--- a/internal/emulator/command_copies_test.go
+++ b/internal/emulator/command_copies_test.go
@@ -67,6 +67,7 @@
 			onExecuted(&wire.CommandRequest{}, func() bool { return true })
 		}
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		close(executed)
 		copies := 0
 		for delay := range executed {
