--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -109,16 +109,23 @@
 	return script
 }
 
-// randomCommandCopies returns a script in which workers execute late copies of command requests in
-// some periods of the time window. Its random numbers come from a stream of their own, so that the
-// other faults of a seed stay as they are.
-func randomCommandCopies(seed uint64, window time.Duration) []emulator.Fault {
-	random := rand.New(rand.NewPCG(seed, commandCopyStream))
+// randomCopies returns a script in which late copies of messages that were answered are executed in some
+// periods of the time window: of command requests to workers, and of requests to the key-value store and
+// the cloud. Its random numbers come from streams of their own, so that the other faults of a seed stay as
+// they are.
+func randomCopies(seed uint64, window time.Duration) []emulator.Fault {
+	commandCopies := randomCopiesOfKind(emulator.LateCommandCopies, rand.New(rand.NewPCG(seed, commandCopyStream)), window)
+	requestCopies := randomCopiesOfKind(emulator.LateRequestCopies, rand.New(rand.NewPCG(seed, requestCopyStream)), window)
+	return append(commandCopies, requestCopies...)
+}
+
+// randomCopiesOfKind returns a script with copies of one kind.
+func randomCopiesOfKind(kind emulator.FaultKind, random *rand.Rand, window time.Duration) []emulator.Fault {
 	var script []emulator.Fault
 	for at := randomDuration(random, 10, 30); at < window; at += randomDuration(random, 15, 60) {
 		script = append(script, emulator.Fault{
 			Start:       at,
-			Kind:        emulator.LateCommandCopies,
+			Kind:        kind,
 			ActiveFor:   randomDuration(random, 3, 30),
 			Probability: 0.1 + 0.4*random.Float64(),
 			Delay:       randomDuration(random, 1, 100),
@@ -171,7 +178,7 @@
 			cluster.injectRequestFaults()
 			cluster.startNodes()
 			go cluster.injectRandomFaults(uint64(seed), 4*time.Minute)
-			go cluster.injector.Run(cluster.ctx, randomCommandCopies(uint64(seed), 4*time.Minute)...)
+			go cluster.injector.Run(cluster.ctx, randomCopies(uint64(seed), 4*time.Minute)...)
 			cluster.submitRandomJobs(40, 4*time.Minute)
 			time.Sleep(time.Minute)
 			cluster.endFaults()
@@ -189,7 +196,12 @@
 			seed:         uint64(200 + seed),
 			pollAllNodes: seed%2 == 1,
 			submit:       func(cluster *simulatedCluster) { cluster.submitRandomJobs(36, 170*second) },
-			setup:        func(cluster *simulatedCluster) { cluster.store.AnswerRefusedWatches = seed%3 == 0 },
+			setup: func(cluster *simulatedCluster) {
+				cluster.store.AnswerRefusedWatches = seed%3 == 0
+				if seed%2 == 0 {
+					cluster.repeatUserRequests = []time.Duration{3 * second, 30 * second, 2 * time.Minute}
+				}
+			},
 		})
 	})
 }
@@ -197,7 +209,7 @@
 // runWithFaultPairs runs a scenario with a script of random pairs of overlapping faults.
 func runWithFaultPairs(t *testing.T, random *rand.Rand, scenario *faultScenario) {
 	const window = 3 * time.Minute
-	scenario.script = append(randomFaultPairs(random, window), randomCommandCopies(scenario.seed, window)...)
+	scenario.script = append(randomFaultPairs(random, window), randomCopies(scenario.seed, window)...)
 	defer logScriptOnFailure(t, scenario.script) // a simulation that fails ends the test
 	scenario.run(t)
 }
--- a/internal/controller/simulated_cluster_test.go
+++ b/internal/controller/simulated_cluster_test.go
@@ -36,6 +36,7 @@
 	replicaExitStream  uint64 = 10
 	quietClusterStream uint64 = 11
 	commandCopyStream  uint64 = 12
+	requestCopyStream  uint64 = 13
 )
 
 // Addresses of the emulated external systems.
@@ -71,8 +72,9 @@
 	simulation *emulator.Simulation
 	injector   *emulator.FaultInjector
 
-	// interceptedHandlers are the handlers of the key-value store and the cloud.
-	interceptedHandlers []*http.Handler
+	// repeatRequest, if set, returns the times after which copies of a request to the key-value
+	// store or the cloud are executed.
+	repeatRequest func(r *http.Request) []time.Duration
 	// repeatUserRequests are the times after which users repeat submissions and cancellations that
 	// were answered.
 	repeatUserRequests []time.Duration
@@ -144,8 +146,8 @@
 	cluster.simulation = cluster.newSimulation()
 	cluster.cloud = cluster.newCloud()
 	cluster.store.OnPut = cluster.checkStoreChange
-	cluster.serveHost("state", storeAddr, cluster.intercepted(cluster.store.Handler()))
-	cluster.serveHost("cloud", cloudAddr, cluster.intercepted(cluster.cloud.Handler()))
+	cluster.serveHost("state", storeAddr, cluster.repeatable(cluster.store.Handler()))
+	cluster.serveHost("cloud", cloudAddr, cluster.repeatable(cluster.cloud.Handler()))
 	cluster.injector = cluster.newInjector(seed)
 	cluster.injector.Attach()
 	return cluster
@@ -235,18 +237,15 @@
 	}
 }
 
-// interceptRequests has the handlers of the key-value store and the cloud replaced by those that wrap
-// returns for them. It must be called before the controllers start.
-func (cluster *simulatedCluster) interceptRequests(wrap func(handler http.Handler) http.Handler) {
-	for _, handler := range cluster.interceptedHandlers {
-		*handler = wrap(*handler)
-	}
-}
-
-// intercepted returns a handler that interceptRequests can replace.
-func (cluster *simulatedCluster) intercepted(handler http.Handler) http.Handler {
-	cluster.interceptedHandlers = append(cluster.interceptedHandlers, &handler)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) })
+// repeatable returns a handler that executes late copies of requests, as faults and
+// repeatRequests demand.
+func (cluster *simulatedCluster) repeatable(handler http.Handler) http.Handler {
+	return emulator.RepeatRequests(cluster.ctx, handler, func(r *http.Request) []time.Duration {
+		if cluster.repeatRequest != nil {
+			return cluster.repeatRequest(r)
+		}
+		return cluster.injector.RequestCopyDelays(r)
+	})
 }
 
 // serveHost serves an emulated system on its own host of the emulated network.
--- a/internal/controller/simulated_nodes_test.go
+++ b/internal/controller/simulated_nodes_test.go
@@ -34,7 +34,6 @@
 		<-ended
 	}
 	cluster.terminateFuncs[node] = func() {
-		crashed.Store(true)
 		cancel()
 		<-ended
 		host.Shutdown()
--- a/internal/emulator/command_copies.go
+++ b/internal/emulator/command_copies.go
@@ -9,8 +9,8 @@
 	"ambersill/internal/wire"
 )
 
-// minCommandCopyDelay is the minimum delay of a late copy of a command request.
-const minCommandCopyDelay = 100 * time.Millisecond
+// minCopyDelay is the minimum delay of a late copy of a request that was answered.
+const minCopyDelay = 100 * time.Millisecond
 
 // CommandRepeater executes a late copy of a command request that its worker has executed and
 // answered. It returns without a response, and whether the worker executed the copy.
@@ -34,7 +34,7 @@
 }
 
 // RepeatCommands makes copies of command requests, each with the given probability, reach the worker
-// again after minCommandCopyDelay and a random time of up to maxDelay. Copies under way when ctx ends
+// again after minCopyDelay and a random time of up to maxDelay. Copies under way when ctx ends
 // are lost. random returns a random number in [0, 1), and executed is called after each copy that its
 // worker executed.
 func RepeatCommands(
@@ -44,7 +44,7 @@
 		if random() >= probability {
 			return
 		}
-		delay := minCommandCopyDelay + time.Duration(random()*float64(maxDelay))
+		delay := minCopyDelay + time.Duration(random()*float64(maxDelay))
 		go func() {
 			transport.Pause(ctx, delay)
 			if ctx.Err() == nil && repeat() {
--- a/internal/emulator/command_copies_test.go
+++ b/internal/emulator/command_copies_test.go
@@ -72,8 +72,8 @@
 		copies := 0
 		for delay := range executed {
 			copies++
-			if delay < minCommandCopyDelay || delay > minCommandCopyDelay+maxDelay {
-				t.Errorf("delay of a copy: got %v, want from %v to %v", delay, minCommandCopyDelay, minCommandCopyDelay+maxDelay)
+			if delay < minCopyDelay || delay > minCopyDelay+maxDelay {
+				t.Errorf("delay of a copy: got %v, want from %v to %v", delay, minCopyDelay, minCopyDelay+maxDelay)
 			}
 		}
 		if copies < requests/5 || copies > requests*3/10 {
--- a/internal/emulator/fault_injector.go
+++ b/internal/emulator/fault_injector.go
@@ -45,6 +45,7 @@
 	commitFaults    activeFaults[commitFaultFunc]
 	heartbeatFaults activeFaults[heartbeatFunc]
 	commandFaults   activeFaults[commandsFunc]
+	requestFaults   activeFaults[requestCopyFunc]
 	switches        overlappingSettings[bool]
 	delays          overlappingSettings[time.Duration]
 	wg              sync.WaitGroup
@@ -137,6 +138,8 @@
 		f.slowProcessors(ctx, fault)
 	case NodeFrozen:
 		f.freezeNodes(ctx, fault)
+	case LateRequestCopies:
+		f.copyRequests(ctx, fault)
 	case LateCommandCopies:
 		f.copyCommands(ctx, fault)
 	case LateHeartbeats:
--- a/internal/emulator/fault_injector_test.go
+++ b/internal/emulator/fault_injector_test.go
@@ -160,6 +160,7 @@
 		{MachineOutboundCut, func(_ *FaultInjector, worker *Worker) bool { return worker.outboundCut }},
 		{DelayedCommands, func(_ *FaultInjector, worker *Worker) bool { return worker.commandDelay > 0 }},
 		{LateCommandCopies, func(injector *FaultInjector, _ *Worker) bool { return len(injector.commandFaults.functions()) > 0 }},
+		{LateRequestCopies, func(injector *FaultInjector, _ *Worker) bool { return len(injector.requestFaults.functions()) > 0 }},
 	} {
 		t.Run(string(c.kind), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -37,6 +37,11 @@
 	LostResponses FaultKind = "lost responses"
 )
 
+// LateRequestCopies has the key-value store and the cloud execute copies of requests that they have
+// executed and answered, each with the given Probability, minCopyDelay and a random time of up to Delay
+// later. Nobody receives the responses.
+const LateRequestCopies FaultKind = "late request copies"
+
 // Faults of heartbeats and of the links to workers and users.
 const (
 	// LateHeartbeats copies each heartbeat with the given Probability, and sends the copy to a
@@ -47,7 +52,7 @@
 	// recorded heartbeats to every node.
 	HeartbeatsForNextOwner FaultKind = "heartbeats for next owner"
 	// LateCommandCopies copies each direct command request that a worker has executed and answered
-	// with the given Probability. The worker executes the copy minCommandCopyDelay and a random time
+	// with the given Probability. The worker executes the copy minCopyDelay and a random time
 	// of up to Delay later, if token and incarnation still match, and nobody receives its response.
 	LateCommandCopies FaultKind = "late command copies"
 	// SlowLinks delays messages to and from workers and users by Delay in each direction.
--- a/internal/emulator/user.go
+++ b/internal/emulator/user.go
@@ -29,7 +29,7 @@
 	// not change its phase.
 	CancelWhenDone bool
 	// RepeatAfter has the times after which late copies of submissions and cancellations that were
-	// answered reach some node.
+	// answered reach the nodes, one after the other.
 	RepeatAfter []time.Duration
 }
 
@@ -138,11 +138,11 @@
 	return answer, status
 }
 
-// repeatChange sends late copies of a request that was answered, each to some node, and records the
+// repeatChange sends late copies of a request that was answered, each to another node, and records the
 // answers.
 func (s *session) repeatChange(ctx context.Context, path string, body any) {
-	for _, delay := range s.RepeatAfter {
-		node := s.PickNode()
+	for i, delay := range s.RepeatAfter {
+		node := s.Simulation.Nodes[i%len(s.Simulation.Nodes)]
 		go func() {
 			transport.Pause(ctx, delay)
 			if ctx.Err() != nil {
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -82,6 +82,10 @@
 	batch := harness.PrepareBatch()
 	harness.revision++
 	harness.RefreshKey(batch, records.JobKey("req-1"), harness.revision, &records.JobRecord{Phase: wire.JobDone}, harness.now)
+	harness.Schedule(harness.now)
+	if harness.NeedsScheduling() {
+		t.Fatal("a scheduling cycle is needed before the heartbeat: got true, want false")
+	}
 	if commands := formatCommands(worker.sendHeartbeat()); len(commands) != 0 {
 		t.Fatalf("commands before a commit of this owner: got %v, want none", commands)
 	}
@@ -248,3 +252,34 @@
 		}
 	}
 }
+
+// Guards against requests that are refused, because a response to a heartbeat raises the token while they
+// are on their way.
+func TestTokenIsNotRaisedWhileRequestIsInFlight(t *testing.T) {
+	harness := newPartitionHarness()
+	worker := newFencedWorker(t, harness, "m-1")
+	harness.addJob(newArrayJob("req-1", 1, 1))
+	harness.addJob(newArrayJob("req-2", 1, 1))
+	harness.scheduleAndCommit()
+	worker.receiveRequest()
+	worker.exit(taskAttempt{"req-1/0", 1}, wire.ExitDone)
+	worker.sendHeartbeat()
+	harness.commitBatches()
+	harness.CancelJob("req-2", harness.now)
+	request, ok := harness.DirectCommands("m-1", true)
+	if !ok {
+		t.Fatal("request with the stop command: got none, want one")
+	}
+	for _, command := range worker.sendHeartbeat() {
+		if command.Op == wire.ForgetTask {
+			t.Errorf("commands while a request is in flight: got %v", command)
+		}
+	}
+	if !worker.executeRequest(request) {
+		t.Errorf("request with token %d was refused by a worker that has seen %d", request.FencingToken, worker.token)
+	}
+	harness.HandleCommandOutcome(request, "m-1", CommandsExecuted)
+	if commands := formatCommands(worker.sendHeartbeat()); !slices.Contains(commands, "clear req-1/0 1") {
+		t.Errorf("commands after the request was answered: got %v, want req-1/0 forgotten", commands)
+	}
+}
