Answer a submission from the stored job before any check refuses it

Cause: Controller.Submit parsed the body, and compared its size with the present limits, before it looked the job up. A job that an earlier version or other settings had accepted met checks which it had never met. Only the checks answered with 422 looked first. Change: every refusal of a submission is given only if no job is stored under its ID.

--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -29,24 +29,22 @@
 )
 
 // Submit accepts a job. Submission is idempotent: for a job that already exists, Submit returns
-// its status.
+// its status, even if a new job with this description would be refused.
 func (c *Controller) Submit(ctx context.Context, body []byte) (api.Submission, error) {
 	job, err := wire.ParseJob(body)
 	if err != nil {
-		return api.Submission{}, &api.PermanentError{Status: http.StatusBadRequest, Reason: err.Error()}
+		refusal := &api.PermanentError{Status: http.StatusBadRequest, Reason: err.Error()}
+		return c.refuseUnlessStored(ctx, refusal, wire.SubmittedJobIDs(body))
 	}
 	if record, ok := c.finalJobs.get(job.ID); ok {
 		return api.Submission{Job: jobStatus(record)}, nil
 	}
-	if !records.JobFitsRecord(job, c.settings) {
-		return api.Submission{}, errJobTooLarge
-	}
-	types := c.catalog()
-	if len(types) == 0 {
-		return api.Submission{}, errNoCatalog
+	refusal, err := c.checkAdmission(job)
+	if err != nil {
+		return api.Submission{}, err
 	}
-	if infeasible := admission.Check(job, c.settings, types); infeasible != nil {
-		return c.submitInfeasible(ctx, job, infeasible)
+	if refusal != nil {
+		return c.refuseUnlessStored(ctx, refusal, []string{job.ID})
 	}
 	if err := c.checkContact(); err != nil {
 		return api.Submission{}, err
@@ -54,20 +52,38 @@
 	return c.createJob(ctx, job)
 }
 
-// submitInfeasible answers the submission of a job that could never run under the current
-// settings. If the job exists because it was accepted under other settings, submitInfeasible
-// returns its status; otherwise it returns an error with the reason.
-func (c *Controller) submitInfeasible(
-	ctx context.Context, job *wire.Job, infeasible error,
-) (api.Submission, error) {
-	submission, err := c.existingJob(ctx, job.ID)
-	if errors.Is(err, kvstore.ErrNotFound) {
-		return api.Submission{}, &api.PermanentError{
+// checkAdmission returns the reason to refuse a new job under the current settings and catalog, or
+// nil if there is none. It returns an error if that cannot be decided yet.
+func (c *Controller) checkAdmission(job *wire.Job) (refusal *api.PermanentError, err error) {
+	if !records.JobFitsRecord(job, c.settings) {
+		return errJobTooLarge, nil
+	}
+	types := c.catalog()
+	if len(types) == 0 {
+		return nil, errNoCatalog
+	}
+	if infeasible := admission.Check(job, c.settings, types); infeasible != nil {
+		return &api.PermanentError{
 			Status: http.StatusUnprocessableEntity,
 			Reason: infeasible.Error(),
+		}, nil
+	}
+	return nil, nil
+}
+
+// refuseUnlessStored answers a submission that would be refused now. If one of the IDs is that of a
+// stored job, which an earlier version or other settings may have accepted, refuseUnlessStored
+// returns the job's status; otherwise it returns the refusal.
+func (c *Controller) refuseUnlessStored(
+	ctx context.Context, refusal *api.PermanentError, ids []string,
+) (api.Submission, error) {
+	for _, id := range ids {
+		submission, err := c.existingJob(ctx, id)
+		if !errors.Is(err, kvstore.ErrNotFound) {
+			return submission, err
 		}
 	}
-	return submission, err
+	return api.Submission{}, refusal
 }
 
 // createJob commits a job's record and its first chunk. If the job already exists, createJob
