Compare the names of CBOR fields exactly

Cause: the decoder used the library's default, which takes a key that equals a name but for case for that field. The check for missing fields runs after that. Fix: the library's exact comparison, in the one mode that decodes all messages and records. Unknown fields are ignored as before.

--- a/internal/controller/repeated_submission_test.go
+++ b/internal/controller/repeated_submission_test.go
@@ -19,10 +19,14 @@
 	name    string
 	change  jobOption
 	missing string // name of the field that is left out; none if empty
+	// capitals is the name of a field whose name is written in capitals; none if empty.
+	capitals string
 }
 
 var refusedSubmissions = []refusedSubmission{
 	{name: "field missing", missing: "gpus"},
+	{name: "field in capitals", capitals: "gpus"},
+	{name: "ID in capitals", capitals: "uid"},
 	{name: "unknown shape", change: func(job *wire.Job) { job.Shape = "pair" }},
 	{name: "overlong name", change: func(job *wire.Job) { job.Image = strings.Repeat("x", 201) }},
 	{name: "too large for a record", change: func(job *wire.Job) {
@@ -39,6 +43,10 @@
 	}
 	fields := submissionOf(job)
 	delete(fields, r.missing)
+	if value, ok := fields[r.capitals]; ok {
+		delete(fields, r.capitals)
+		fields[strings.ToUpper(r.capitals)] = value
+	}
 	return fields
 }
 
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -32,6 +32,8 @@
 		MaxNestedLevels:  maxNestedLevels,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
+		// An unknown field is ignored, even if its name differs from a known one only in case.
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}.DecMode())
 )
 
