Refuse maps in which a key stands twice

What callers saw: a job with one field twice was accepted with one of the two values, and so was every other message; RFC 8949, 5.6, calls such a map invalid. Cause: the decoder's default skips a key that it has met. Fix: the library's check for duplicate keys. What an unknown field holds is ignored as before. Digests of machines are decoded into a map for each record, as the library lists the keys of a map that is not empty.

--- a/internal/controller/summaries.go
+++ b/internal/controller/summaries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 
 	"ambersill/internal/records"
 	"ambersill/internal/wire"
@@ -53,11 +54,12 @@
 	}
 	summary.MachineDigests = map[string]records.MachineDigest{}
 	for i := range summary.DigestRecordCount {
-		// All records are decoded into the same map, since no machine is in two of them.
+		var digests map[string]records.MachineDigest
 		key := records.MachineDigestsKey(partition, i)
-		if err := wire.Unmarshal(values[key], &summary.MachineDigests); err != nil {
+		if err := wire.Unmarshal(values[key], &digests); err != nil {
 			slog.Debug("decoding machine digests failed", "partition", partition, "err", err)
 		}
+		maps.Copy(summary.MachineDigests, digests) // no machine is in two records
 	}
 	for i := range summary.OverflowRecordCount {
 		var overflow []records.Demand
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -34,6 +34,7 @@
 		MaxMapPairs:      maxElements,
 		// An unknown field is ignored, even if its name differs from a known one only in case.
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 	}.DecMode())
 )
 
@@ -62,7 +63,8 @@
 // Marshal encodes a message.
 func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
-// Unmarshal decodes a single message. It returns an error if data follows the message.
+// Unmarshal decodes a single message. It returns an error if data follows the message, or if a map has a
+// key twice.
 func Unmarshal(b []byte, v any) error { return decMode.Unmarshal(b, v) }
 
 // ReadResponse reads and decodes a response. It returns a *ResponseTooLargeError if the response
