Refuse known fields in tags, which the protocol does not have

What callers saw: a job with `pieces` inside a tag, or a whole job inside tag 55799, was accepted. The body of a request is a map of text, lists, numbers, booleans and null. Cause: the decoder drops tags and takes their content for the field. Evidence: TestTaggedFieldIsRefused failed before for 19 of 20 fields (`field` is null there), an item of a list and a whole job in one tag and in two. Fix: tags are forbidden. Where a message has some, each tagged item is replaced by an empty byte string, which no field accepts, and the message is decoded again, so that unknown fields may hold tags as before (TestUnknownFieldMayHoldAnything).

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -35,6 +36,7 @@
 		// An unknown field is ignored, even if its name differs from a known one only in case.
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		TagsMd:            cbor.TagsForbidden,
 	}.DecMode())
 )
 
@@ -63,9 +65,15 @@
 // Marshal encodes a message.
 func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
-// Unmarshal decodes a single message. It returns an error if data follows the message, or if a map has a
-// key twice.
-func Unmarshal(b []byte, v any) error { return decMode.Unmarshal(b, v) }
+// Unmarshal decodes a single message. It returns an error if data follows the message, if a map has a
+// key twice, or if a value is in a tag. Unknown fields are ignored, whatever they contain.
+func Unmarshal(b []byte, v any) error {
+	err := decMode.Unmarshal(b, v)
+	if _, hasTags := errors.AsType[*cbor.TagsMdError](err); hasTags {
+		return decodeIgnoringTags(b, v)
+	}
+	return err
+}
 
 // ReadResponse reads and decodes a response. It returns a *ResponseTooLargeError if the response
 // exceeds maxResponseBytes.
