Refuse heartbeats that lack a field the protocol requires

One without `pieces` counted as that of a machine without tasks, and its tasks were started again. Cause: Heartbeat was decoded into its zero values, so a missing field could not be told from a zero. Fix: messages with required fields check them when they are decoded, and the answer is 400 with the field's name, upon which a worker tries the next node. A node of an earlier version still forwards such heartbeats: the owner does not accept one without machine, address, type, zone, session or a task's fields (TestForwardedHeartbeatWithoutFieldIsNotAccepted). gob omits an empty list, so a missing list of tasks shows only at the node that reads the heartbeat. The heartbeats in older tests that lacked fields are complete now; what they check is as before.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -133,8 +133,8 @@
 		return
 	}
 	var heartbeat wire.Heartbeat
-	if err := wire.Unmarshal(body, &heartbeat); err != nil || heartbeat.Machine == "" {
-		h.writeResponse(w, http.StatusBadRequest, wire.ErrorResponse{Error: "not a report"})
+	if err := wire.Unmarshal(body, &heartbeat); err != nil {
+		h.writeResponse(w, http.StatusBadRequest, wire.ErrorResponse{Error: "not a report: " + err.Error()})
 		return
 	}
 	result := h.service.Heartbeat(&heartbeat)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -35,6 +35,34 @@
 
 func (s nodeService) Healthy() bool { return s.healthy }
 
+// emptyMachineHeartbeat is the heartbeat of a machine without tasks.
+var emptyMachineHeartbeat = wire.Heartbeat{
+	Machine:     "m-1",
+	Address:     "10.1.0.1:9000",
+	MachineType: "g8",
+	Zone:        "a",
+	Incarnation: 1,
+	Tasks:       []wire.TaskStatus{},
+}
+
+// Guards against a heartbeat without its list of tasks that is answered as that of an empty machine. The
+// answer names the missing field.
+func TestIncompleteHeartbeatIsRefused(t *testing.T) {
+	accepting := nodeService{result: HeartbeatResult{Accepted: true}}
+	withoutTasks := emptyMachineHeartbeat
+	withoutTasks.Tasks = nil // encoded as null
+	for _, test := range []struct {
+		heartbeat any
+		problem   string
+	}{
+		{withoutTasks, "not a report: pieces: missing"},
+		{map[string]string{}, "not a report: windfall: missing"},
+	} {
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/agent/beat", bytes.NewReader(encode(t, test.heartbeat)))
+		checkResponse(t, accepting, request, http.StatusBadRequest, wire.ErrorResponse{Error: test.problem})
+	}
+}
+
 func TestHeartbeatResponses(t *testing.T) {
 	response := wire.HeartbeatResponse{FencingToken: 7, Commands: []wire.Command{}}
 	tests := []struct {
@@ -64,7 +92,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			body := encode(t, wire.Heartbeat{Machine: "m-1"})
+			body := encode(t, emptyMachineHeartbeat)
 			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/agent/beat", bytes.NewReader(body))
 			checkResponse(t, nodeService{result: test.result}, request, test.status, test.body)
 		})
--- a/internal/controller/forward_test.go
+++ b/internal/controller/forward_test.go
@@ -102,7 +102,7 @@
 	for i := range count {
 		wg.Go(func() {
 			sequence := uint64(i + 1)
-			result, reached := f.forwarder.forward(&wire.Heartbeat{Machine: fmt.Sprintf("m-%d", i), Sequence: sequence})
+			result, reached := f.forwarder.forward(newHeartbeat(fmt.Sprintf("m-%d", i), sequence))
 			if !reached {
 				return
 			}
@@ -165,7 +165,7 @@
 		// Wait until the first heartbeat has been sent. It is not answered.
 		time.Sleep(forwardBatchDelay + time.Millisecond)
 		for range maxForwardBatch {
-			waiting.Go(func() { f.forwarder.forward(&wire.Heartbeat{Machine: "m", Sequence: 1}) })
+			waiting.Go(func() { f.forwarder.forward(newHeartbeat("m", 1)) })
 		}
 		synctest.Wait()
 		began := time.Now()
--- a/internal/controller/helpers_test.go
+++ b/internal/controller/helpers_test.go
@@ -25,3 +25,16 @@
 	cluster := &simulatedCluster{nodes: simulatedNodes(2)}
 	return New(cluster.settings(0), tuning.Default(), emulator.NewNetwork().Host("node-0"))
 }
+
+// newHeartbeat returns the heartbeat of a machine without tasks.
+func newHeartbeat(machine string, sequence uint64) *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Machine:     machine,
+		Address:     "10.1.0.1:9000",
+		MachineType: "small",
+		Zone:        "a",
+		Incarnation: 1,
+		Sequence:    sequence,
+		Tasks:       []wire.TaskStatus{},
+	}
+}
--- a/internal/controller/outdated_request_test.go
+++ b/internal/controller/outdated_request_test.go
@@ -37,7 +37,8 @@
 			})
 			status = http.StatusConflict
 		}
-		response := wire.Heartbeat{Machine: "m-1", Incarnation: 1, Sequence: 10 + uint64(len(tokens)), FencingToken: tokens[0] + 1}
+		response := newHeartbeat("m-1", 10+uint64(len(tokens)))
+		response.FencingToken = tokens[0] + 1
 		w.WriteHeader(status)
 		_, _ = w.Write(must(wire.Marshal(response)))
 	}))
--- a/internal/peerrpc/peerrpc_test.go
+++ b/internal/peerrpc/peerrpc_test.go
@@ -89,8 +89,8 @@
 	peer, _ := serveAndConnect(t, owner)
 	zero, positive := 0.0, 7.5
 	sent := []wire.Heartbeat{
-		{Machine: "m-1", Incarnation: 1, Sequence: 3, FencingToken: 9, TerminationNoticeS: &zero},
-		{Machine: "refused", Incarnation: 2, Sequence: 1, TerminationNoticeS: &positive},
+		{Machine: "m-1", Address: "10.1.0.2:9000", MachineType: "big", Zone: "a", Incarnation: 1, Sequence: 3, FencingToken: 9, TerminationNoticeS: &zero},
+		{Machine: "refused", Address: "10.1.0.3:9000", MachineType: "big", Zone: "a", Incarnation: 2, Sequence: 1, TerminationNoticeS: &positive},
 		{
 			Machine: "m-2", Address: "10.1.0.1:9000", MachineType: "big", Zone: "a", Spot: true, Incarnation: 1, Sequence: 8, FencingToken: 9,
 			Tasks: []wire.TaskStatus{{Task: "req-000001/0", Attempt: 4, State: wire.TaskExited, ExitCause: wire.ExitStopped, CheckpointSaved: true}},
@@ -114,6 +114,23 @@
 	}
 }
 
+// Guards against heartbeats without a field that nodes of earlier versions read as zero and forward. They
+// do not keep the others of the batch from being answered.
+func TestForwardedHeartbeatWithoutFieldIsNotAccepted(t *testing.T) {
+	owner := &stubHandler{}
+	peer, _ := serveAndConnect(t, owner)
+	complete := wire.Heartbeat{Machine: "m-1", Address: "10.1.0.2:9000", MachineType: "big", Zone: "a", Incarnation: 1}
+	withoutSession := complete
+	withoutSession.Incarnation = 0
+	got, err := peer.ForwardHeartbeats([]*wire.Heartbeat{{Machine: "m-1"}, &withoutSession, &complete}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got[0].Accepted || got[1].Accepted || !got[2].Accepted || len(owner.got) != 1 {
+		t.Errorf("forwarded heartbeats: got %+v and %d handled, want only the complete one handled and accepted", got, len(owner.got))
+	}
+}
+
 // A call that times out because the peer is busy must not close the connection. It once did, which
 // made all other pending calls fail and the peer accept another connection.
 func TestLateAnswerKeepsConnection(t *testing.T) {
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/rpc"
 	"time"
@@ -88,11 +89,16 @@
 }
 
 // Reports receives heartbeats that workers sent to another node, and returns the answers to
-// them.
+// them. It accepts none that lacks a required field: nodes of earlier versions forward those, too.
 func (s *Service) Reports(batch ReportBatch, reply *BatchReply) error {
 	reply.Replies = make([]WorkerReply, len(batch.Reports))
 	for i := range batch.Reports {
-		result := s.handler.AnswerHeartbeatAsOwner(batch.Reports[i].decodeHeartbeat())
+		heartbeat := batch.Reports[i].decodeHeartbeat()
+		if err := heartbeat.Validate(); err != nil {
+			slog.Debug("forwarded heartbeat not accepted", "machine", heartbeat.Machine, "err", err)
+			continue
+		}
+		result := s.handler.AnswerHeartbeatAsOwner(heartbeat)
 		reply.Replies[i] = WorkerReply{Accepted: result.Accepted, Reply: encodeResponse(result.Response)}
 	}
 	return nil
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -66,8 +66,17 @@
 func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
 // Unmarshal decodes a single message. It returns an error if data follows the message, if a map has a
-// key twice, or if a value is in a tag. Unknown fields are ignored, whatever they contain.
+// key twice, if a value is in a tag, or if the type of v has required fields and one is missing. Unknown
+// fields are ignored, whatever they contain.
 func Unmarshal(b []byte, v any) error {
+	if message, ok := v.(messageDecoder); ok {
+		return message.DecodeMessage(b)
+	}
+	return DecodeFields(b, v)
+}
+
+// DecodeFields is Unmarshal without the check for required fields.
+func DecodeFields(b []byte, v any) error {
 	err := decMode.Unmarshal(b, v)
 	if _, hasTags := errors.AsType[*cbor.TagsMdError](err); hasTags {
 		return decodeIgnoringTags(b, v)
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -15,7 +15,7 @@
 	maxAmount = 1e9
 )
 
-// ValidationError reports a missing or invalid field of a submitted job.
+// ValidationError reports a missing or invalid field of a message.
 type ValidationError struct {
 	Field   string // name of the field in the protocol
 	Problem string
