Take no answer of the store or the cloud for empty because a field is missing

What callers would see: a page without its list counted as no keys or no machines (which makes machines vanish), a watch without its list as no change, a catalog entry without a price as one that costs nothing, a granted lease without its ID as no lease, so that ownership never ended. Cause: answers were decoded into zero values. Fix: answers check the fields that the protocol does not let be null, as heartbeats do. What follows is what follows an answer that can't be read: the outcome counts as unknown, and is asked for again. A conflict that names no key counts so, too. Two tests of the emulator decoded a refusal as an answer; they now require the refusal's reason instead.

--- a/internal/cloud/client_test.go
+++ b/internal/cloud/client_test.go
@@ -49,3 +49,19 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against answers without a list that count as no machine types, no rented machines or a list in
+// which all machines have vanished.
+func TestIncompleteAnswerFailsRequest(t *testing.T) {
+	ctx := context.Background()
+	for name, call := range map[string]func(client *Client) error{
+		"catalog": func(client *Client) error { _, err := client.Catalog(ctx); return err },
+		"rent":    func(client *Client) error { _, err := client.Rent(ctx, wire.RentRequest{RequestID: "r-1"}); return err },
+		"list":    func(client *Client) error { _, err := client.List(ctx); return err },
+	} {
+		client := newTestClient(t, http.StatusOK, map[string]any{"hasNext": false})
+		if err := call(client); !errors.Is(err, ErrRequestFailed) {
+			t.Errorf("%s answered without a list: got error %v, want ErrRequestFailed", name, err)
+		}
+	}
+}
--- a/internal/emulator/kvstore_test.go
+++ b/internal/emulator/kvstore_test.go
@@ -17,8 +17,8 @@
 // testHost is the remote address of the requests that these tests send.
 const testHost = "node-1"
 
-// request sends a request to a handler, and returns the HTTP status. It decodes the body into
-// response unless response is nil.
+// request sends a request to a handler, and returns the HTTP status. Unless response is nil, it decodes
+// the body into response, or checks that it has a reason if the request was refused.
 func request(t *testing.T, handler http.Handler, method, target string, body, response any) int {
 	t.Helper()
 	encoded, err := wire.Marshal(body)
@@ -32,9 +32,17 @@
 	if response == nil {
 		return recorder.Code
 	}
+	var refusal wire.ErrorResponse
+	switch recorder.Code {
+	case http.StatusBadRequest, http.StatusServiceUnavailable:
+		response = &refusal
+	}
 	if err := wire.Unmarshal(recorder.Body.Bytes(), response); err != nil {
 		t.Fatalf("%s %s: got status %d and a body that cannot be decoded: %v", method, target, recorder.Code, err)
 	}
+	if response == &refusal && refusal.Error == "" {
+		t.Fatalf("%s %s: got status %d without a reason, want one", method, target, recorder.Code)
+	}
 	return recorder.Code
 }
 
--- a/internal/kvstore/errors_test.go
+++ b/internal/kvstore/errors_test.go
@@ -108,3 +108,25 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against answers without a list or a revision that count as an empty listing, as no change, as a
+// conflict on no key or as a commit at revision 0.
+func TestIncompleteAnswerLeavesOutcomeUnknown(t *testing.T) {
+	ctx := context.Background()
+	empty := map[string]any{}
+	for name, call := range map[string]func(client *Client) error{
+		"get":    func(client *Client) error { _, err := client.Get(ctx, testKey); return err },
+		"list":   func(client *Client) error { _, _, err := client.List(ctx, "a/"); return err },
+		"watch":  func(client *Client) error { _, err := client.Watch(ctx, "a/", 1, 0); return err },
+		"grant":  func(client *Client) error { _, err := client.GrantLease(ctx, time.Second); return err },
+		"commit": commitOneKey,
+	} {
+		if err := call(newTestClient(t, http.StatusOK, empty)); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("%s answered with a map without fields: got error %v, want ErrOutcomeUnknown", name, err)
+		}
+	}
+	withoutKeys := wire.TxnResponse{Revision: 7}
+	if err := commitOneKey(newTestClient(t, http.StatusConflict, withoutKeys)); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("conflict without keys: got error %v, want ErrOutcomeUnknown", err)
+	}
+}
--- a/internal/kvstore/request.go
+++ b/internal/kvstore/request.go
@@ -111,7 +111,11 @@
 
 func conflictError(resp *http.Response) error {
 	var response wire.TxnResponse
-	if err := wire.ReadResponse(resp.Body, &response); err != nil {
+	err := wire.ReadResponse(resp.Body, &response)
+	if err == nil {
+		err = response.CheckConflict()
+	}
+	if err != nil {
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	return &ConflictError{Keys: response.Failed}
--- a/internal/wire/heartbeat_test.go
+++ b/internal/wire/heartbeat_test.go
@@ -37,14 +37,7 @@
 // its name in capitals. part returns the part of a heartbeat that has the field.
 func checkIncompleteHeartbeats(t *testing.T, field string, part func(heartbeat map[string]any) map[string]any) {
 	t.Helper()
-	for name, change := range map[string]func(fields map[string]any){
-		"left out": func(fields map[string]any) { delete(fields, field) },
-		"null":     func(fields map[string]any) { fields[field] = nil },
-		"in capitals": func(fields map[string]any) {
-			fields[strings.ToUpper(field)] = fields[field]
-			delete(fields, field)
-		},
-	} {
+	for name, change := range incompleteVariants(field) {
 		message := validHeartbeat()
 		change(part(message))
 		var heartbeat Heartbeat
