Read no stored record with a zero value in the place of a missing field

What callers would see: a stored job without its number of tasks would count as done, a summary without its list of waiting tasks would rent no machine for them, a rental without its partition would belong to the first. No such record has been seen: every version writes its records whole. Such a record is then treated as one that can't be decoded. Records of older tests have all fields now.

--- a/internal/controller/addresses_test.go
+++ b/internal/controller/addresses_test.go
@@ -20,7 +20,7 @@
 		for i := range machines {
 			id := fmt.Sprintf("m-%d-%d", generation, i)
 			ids = append(ids, id)
-			group := records.MachineGroupRecord{Machines: map[string]records.MachineRecord{id: {MachineType: "small", Zone: "a"}}}
+			group := records.MachineGroupRecord{Machines: map[string]records.MachineRecord{id: {MachineType: "small", Zone: "a", CreatedAtMS: 1}}}
 			c.cluster.applyChange(putChange(records.MachinePrefix+id, group, revision))
 			c.recordAddress(id, address)
 			if c.address(id) == "" {
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -29,7 +29,7 @@
 	)
 	cluster := &simulatedCluster{nodes: simulatedNodes(1)}
 	c = New(cluster.settings(0), tuning.Default(), nil)
-	machine := records.MachineRecord{MachineType: "big", Zone: "a"}
+	machine := records.MachineRecord{MachineType: "big", Zone: "a", CreatedAtMS: 1}
 	group := records.MachineGroupRecord{Machines: map[string]records.MachineRecord{fixtureMachineID: machine}}
 	c.cluster.applyChange(putChange(records.MachinePrefix+fixtureMachineID, group, groupRevision))
 
--- a/internal/controller/cluster_cache_test.go
+++ b/internal/controller/cluster_cache_test.go
@@ -40,7 +40,7 @@
 		want     bool
 	}{{listedAt - 1, false}, {listedAt, false}, {listedAt + 1, true}} {
 		cache := newClusterCache()
-		cache.applyChange(putChange(records.RentalPrefix+"r-7-0", records.RentalRecord{Count: 1}, test.revision))
+		cache.applyChange(putChange(records.RentalPrefix+"r-7-0", records.RentalRecord{MachineType: "small", Zone: "a", Count: 1, RecordedAtMS: 1}, test.revision))
 		cache.replaceAll(nil, listedAt)
 		if got := cache.hasRental("r-7-0"); got != test.want {
 			t.Errorf("rental at revision %d after a listing at %d that lacks it: kept %v, want %v", test.revision, listedAt, got, test.want)
--- a/internal/controller/large_fleet_test.go
+++ b/internal/controller/large_fleet_test.go
@@ -165,7 +165,7 @@
 			id := fmt.Sprintf("req-9%06d", n)
 			txn.Writes = append(txn.Writes, wire.Write{
 				Put:   records.JobKey(id),
-				Value: records.JobRecord{Job: &wire.Job{ID: id, TaskCount: 1}, Phase: wire.JobDone},
+				Value: records.JobRecord{Job: &wire.Job{ID: id, Team: "free", Shape: wire.ArrayJob, TaskCount: 1}, Phase: wire.JobDone},
 			})
 			n++
 		}
--- a/internal/controller/machine_groups_test.go
+++ b/internal/controller/machine_groups_test.go
@@ -26,7 +26,7 @@
 func TestSplittingGroupRemovesNoMachine(t *testing.T) {
 	whole := records.MachineGroupRecord{Machines: map[string]records.MachineRecord{}}
 	for i := range 40 {
-		whole.Machines[fmt.Sprintf("m-%06d", i)] = records.MachineRecord{MachineType: "small", Zone: "a"}
+		whole.Machines[fmt.Sprintf("m-%06d", i)] = records.MachineRecord{MachineType: "small", Zone: "a", CreatedAtMS: 1}
 	}
 	const maxBytes = 2 << 10
 	pieces := whole.SplitBySize(maxBytes)
--- a/internal/controller/outdated_request_test.go
+++ b/internal/controller/outdated_request_test.go
@@ -65,7 +65,7 @@
 	return len(s.inFlight)
 }
 
-var testMachineRecord = records.MachineRecord{MachineType: "small", Zone: "a"}
+var testMachineRecord = records.MachineRecord{MachineType: "small", Zone: "a", CreatedAtMS: 1}
 
 // newOwnedPartitionWithUnsentStart returns a partition that has machine m-1, on which a task is placed and
 // committed whose start command has not been sent.
--- a/internal/controller/partition_claims_test.go
+++ b/internal/controller/partition_claims_test.go
@@ -64,7 +64,7 @@
 		removed: removed,
 		other:   New(cluster.settings(1), cluster.tuning, cluster.network.Host("node-1")),
 		group: records.MachineGroupRecord{Machines: map[string]records.MachineRecord{
-			changedMachine: {MachineType: "small", Zone: "a"},
+			changedMachine: {MachineType: "small", Zone: "a", CreatedAtMS: 1},
 		}},
 	}
 	store := cluster.store.Handler()
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -101,3 +101,14 @@
 	Done    int      `cbor:"done"`    // number of done tasks
 	Running int      `cbor:"running"` // number of running tasks
 }
+
+// CheckStored returns a *ValidationError if a stored job lacks a field without which it would be another
+// job. A job whose number of tasks is missing, for example, must not count as done.
+func (j *Job) CheckStored() error {
+	return CheckRequired(
+		RequiredField{Name: "uid", Present: j.ID != ""},
+		RequiredField{Name: "crew", Present: j.Team != ""},
+		RequiredField{Name: "shape", Present: j.Shape != ""},
+		RequiredField{Name: "pieces", Present: j.TaskCount != 0},
+	)
+}
