Compare the names of settings exactly

What users saw: with `max_sockets = 5` and an unknown `Max_Sockets = 7` a controller started with either, by chance; a required setting could be missing as long as its name stood there in another case. Cause: the TOML library takes such a name for the field's, in the order of a map, and has no option against it. Fix: tables are decoded name by name, with the library for the values. Unknown names are ignored as before, wherever they stand. The policy script compared names exactly already: a near name is an error (a row more in TestLoadPolicy).

--- a/cmd/ambersill/main.go
+++ b/cmd/ambersill/main.go
@@ -101,6 +101,9 @@
 			if err != nil {
 				return err
 			}
+			for _, ignored := range settings.IgnoredKeys {
+				printf(cmd.OutOrStdout(), "%s is ignored; the setting is named %s\n", ignored.Key, ignored.Setting)
+			}
 			printf(cmd.OutOrStdout(), "%s: settings are good\n", settings.Node)
 			return nil
 		},
--- a/cmd/ambersill/standin_test.go
+++ b/cmd/ambersill/standin_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"ambersill/internal/config"
@@ -46,3 +49,30 @@
 		}
 	}
 }
+
+// The check of settings points to a key that is ignored because its name differs from that of a setting
+// only in case.
+func TestCheckNamesIgnoredKeys(t *testing.T) {
+	directory := t.TempDir()
+	if err := writeSettings(io.Discard, directory, []config.Settings{sampleSettings(0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(directory, nodeName(0)+".toml")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append([]byte("Zone = \"b\"\n"), text...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var output bytes.Buffer
+	cmd := rootCommand()
+	cmd.SetOut(&output)
+	cmd.SetArgs([]string{"check", "--config", path})
+	if err := cmd.Execute(); err != nil {
+		t.Fatal(err)
+	}
+	if want := "Zone is ignored; the setting is named zone\n"; !strings.Contains(output.String(), want) {
+		t.Errorf("output of check: got %q, want a line %q", output.String(), want)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,10 +3,9 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"os"
-
-	"github.com/BurntSushi/toml"
 )
 
 // Settings is the configuration that the platform provides to one controller.
@@ -18,6 +17,8 @@
 	Members    []Member  `toml:"members"`
 	Endpoints  Endpoints `toml:"outside"`
 	Cluster    Cluster   `toml:"cluster"`
+	// IgnoredKeys are the keys of the file that may have been meant as settings.
+	IgnoredKeys []IgnoredKey `toml:"-"`
 }
 
 // Member is another controller of the cluster.
@@ -112,21 +113,37 @@
 func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %s", e.File, e.Key, e.Problem) }
 
 // Load reads and validates a settings file. It ignores unknown keys because newer versions of the
-// platform may add keys. It returns an *Error if a key is invalid.
+// platform may add keys; names are compared exactly. It returns an *Error if a key is missing or
+// invalid.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	var settings Settings
-	if err := toml.Unmarshal(text, &settings); err != nil {
+	settings, err := decodeSettings(string(text))
+	if problem, ok := errors.AsType[*Error](err); ok {
+		problem.File = path
+		return nil, problem
+	}
+	if err != nil {
 		return nil, fmt.Errorf("parsing settings file %s: %w", path, err)
 	}
 	if problem := settings.validate(); problem != nil {
 		problem.File = path
+		problem.Problem += settings.nearNameHint(problem.Key)
 		return nil, problem
 	}
-	return &settings, nil
+	return settings, nil
+}
+
+// nearNameHint returns a hint if the file has the name of a setting in another case, and "" otherwise.
+func (s *Settings) nearNameHint(setting string) string {
+	for _, ignored := range s.IgnoredKeys {
+		if ignored.Setting == setting {
+			return fmt.Sprintf(" (%s is ignored: names are compared exactly)", ignored.Key)
+		}
+	}
+	return ""
 }
 
 // WriteLimits returns the limits that requests to the key-value store must keep to. Each is the
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -124,7 +124,7 @@
 	if v.GiveBackS != 120 || v.Parts != 2 {
 		t.Fatalf("tunables after the policy: got %+v, want GiveBackS 120 and Parts 2", v)
 	}
-	for _, bad := range []string{"Nonsense = 1", "GiveBackS = -1", "GiveBackS = 'x'", "Parts = 1.5", "RoundS = 0", "while True: pass", "x ="} {
+	for _, bad := range []string{"Nonsense = 1", "giveBackS = 1", "GiveBackS = -1", "GiveBackS = 'x'", "Parts = 1.5", "RoundS = 0", "while True: pass", "x ="} {
 		if err := LoadPolicy(writeFile(t, "p.star", bad), &v); err == nil {
 			t.Errorf("loading policy %q: got no error, want one", bad)
 		}
