Ignore announcements of a claim without its node or revision

What callers would see: an announcement that lacks the node made a partition count as without an owner until the watch corrected it. None has been seen. Cause: gob leaves out zero values, and neither field of a claim is ever zero. Evidence: TestIncompleteClaimIsIgnored failed before (three claims handled, want one). TestFieldOfPeerInAnotherCaseIsIgnored shows that gob compares names exactly; it passed before. Which of the other fields are missing gob can't tell: their zero values are valid.

--- a/internal/peerrpc/peerrpc_test.go
+++ b/internal/peerrpc/peerrpc_test.go
@@ -1,7 +1,9 @@
 package peerrpc
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,10 +21,11 @@
 // stubHandler is a Handler that accepts every heartbeat except those of the machine "refused".
 type stubHandler struct {
 	got             []wire.Heartbeat
+	claims          []OwnershipClaim
 	taskCountsDelay atomic.Int64 // how long LocalTaskCounts takes, in nanoseconds
 }
 
-func (*stubHandler) HandleClaim(OwnershipClaim)         {}
+func (h *stubHandler) HandleClaim(claim OwnershipClaim) { h.claims = append(h.claims, claim) }
 func (*stubHandler) HandleCancellation(JobCancellation) {}
 func (*stubHandler) SinceContact() time.Duration        { return 0 }
 func (h *stubHandler) LocalTaskCounts(string) TaskCounts {
@@ -131,6 +134,37 @@
 	}
 }
 
+// Guards against announcements of a claim that lack a field, which would name no owner.
+func TestIncompleteClaimIsIgnored(t *testing.T) {
+	owner := &stubHandler{}
+	service := &Service{owner}
+	for _, claim := range []Claim{{Part: 1, Stamp: 7}, {Part: 1, Node: "node-1"}, {Part: 1, Stamp: 7, Node: "node-1"}} {
+		if err := service.Claimed(claim, &struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []OwnershipClaim{{Partition: 1, Revision: 7, Node: "node-1"}}; !cmp.Equal(owner.claims, want) {
+		t.Errorf("announced claims: got %+v, want only the complete one, %+v", owner.claims, want)
+	}
+}
+
+// Guards against a field of a later version that stands in for a known one because its name differs only
+// in case. gob compares names exactly.
+func TestFieldOfPeerInAnotherCaseIsIgnored(t *testing.T) {
+	type claimOfLaterVersion struct {
+		PART, NODE string
+		Stamp      uint64
+	}
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(claimOfLaterVersion{PART: "x", NODE: "node-9", Stamp: 7}); err != nil {
+		t.Fatal(err)
+	}
+	var got Claim
+	if err := gob.NewDecoder(&encoded).Decode(&got); err != nil || got != (Claim{Stamp: 7}) {
+		t.Errorf("claim with unknown fields: got %+v, error %v, want the revision alone", got, err)
+	}
+}
+
 // A call that times out because the peer is busy must not close the connection. It once did, which
 // made all other pending calls fail and the peer accept another connection.
 func TestLateAnswerKeepsConnection(t *testing.T) {
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -65,8 +65,12 @@
 // messages.go.
 type Service struct{ handler Handler }
 
-// Claimed receives the announcement of a node that has become the owner of a partition.
+// Claimed receives the announcement of a node that has become the owner of a partition. It ignores one
+// without a node or a revision.
 func (s *Service) Claimed(claim Claim, _ *struct{}) error {
+	if claim.Node == "" || claim.Stamp == 0 {
+		return nil
+	}
 	s.handler.HandleClaim(OwnershipClaim{Partition: claim.Part, Revision: claim.Stamp, Node: claim.Node})
 	return nil
 }
