Log refused heartbeats and submissions, and each record that can't be decoded

A heartbeat or a submission that was refused left no line, and records of rentals, owners and the feature level that could not be decoded were passed over in silence.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -134,6 +134,7 @@
 	}
 	var heartbeat wire.Heartbeat
 	if err := wire.Unmarshal(body, &heartbeat); err != nil {
+		slog.Debug("heartbeat refused", "from", r.RemoteAddr, "err", err)
 		h.writeResponse(w, http.StatusBadRequest, wire.ErrorResponse{Error: "not a report: " + err.Error()})
 		return
 	}
--- a/internal/controller/cluster_cache.go
+++ b/internal/controller/cluster_cache.go
@@ -95,6 +95,15 @@
 	deleted  bool
 }
 
+// decode decodes the value into a record. If that fails, it logs an error and returns false.
+func (c *keyChange) decode(record any) bool {
+	if err := wire.Unmarshal(c.value, record); err != nil {
+		slog.Error("decoding record failed", "key", c.key, "err", err)
+		return false
+	}
+	return true
+}
+
 func deletionOf(key string, revision uint64) keyChange {
 	return keyChange{key: key, revision: revision, deleted: true}
 }
@@ -205,8 +214,8 @@
 		return
 	}
 	var record records.NodeRecord
-	if err := wire.Unmarshal(change.value, &record); err != nil {
-		slog.Error("decoding record failed", "key", change.key, "err", err)
+	if !change.decode(&record) {
+		record = records.NodeRecord{}
 	}
 	c.nodes[name] = nodeEntry{featureLevel: record.Level, revision: change.revision}
 }
@@ -215,7 +224,7 @@
 // cluster's level never decreases.
 func (c *clusterCache) applyFeatureLevel(change keyChange) (notify func()) {
 	var record records.LevelRecord
-	if wire.Unmarshal(change.value, &record) != nil || record.Level <= c.level {
+	if change.deleted || !change.decode(&record) || record.Level <= c.level {
 		return nil
 	}
 	c.level = record.Level
@@ -231,7 +240,7 @@
 		return
 	}
 	var record records.RentalRecord
-	if wire.Unmarshal(change.value, &record) == nil {
+	if change.decode(&record) {
 		c.rentals[id] = rentalEntry{record: record, revision: change.revision}
 	}
 }
@@ -244,7 +253,7 @@
 		return owner
 	}
 	var record records.OwnerRecord
-	if wire.Unmarshal(change.value, &record) == nil {
+	if change.decode(&record) {
 		owner.node = record.Node
 	}
 	return owner
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -83,6 +84,7 @@
 			return submission, err
 		}
 	}
+	slog.Debug("submission refused", "status", refusal.Status, "reason", refusal.Reason, "ids", ids)
 	return api.Submission{}, refusal
 }
 
--- a/internal/controller/summaries.go
+++ b/internal/controller/summaries.go
@@ -49,7 +49,11 @@
 func decodeSummary(partition int, values map[string]wire.Raw) (records.PartitionSummary, bool) {
 	var summary records.PartitionSummary
 	value, ok := values[records.SummaryKey(partition)]
-	if !ok || wire.Unmarshal(value, &summary) != nil {
+	if !ok {
+		return summary, false
+	}
+	if err := wire.Unmarshal(value, &summary); err != nil {
+		slog.Debug("decoding partition summary failed", "partition", partition, "err", err)
 		return summary, false
 	}
 	summary.MachineDigests = map[string]records.MachineDigest{}
