--- a/cmd/ambersill/controller.go
+++ b/cmd/ambersill/controller.go
@@ -23,9 +23,6 @@
 // runController runs a controller until the process receives SIGINT or SIGTERM.
 func runController(ctx context.Context, settings *config.Settings, tunables tuning.Tuning) error {
 	configureLogging()
-	for _, ignored := range settings.IgnoredKeys {
-		slog.Warn("key of the settings file ignored", "key", ignored.Key, "setting", ignored.Setting)
-	}
 	configureGarbageCollection(settings.Cluster.ControllerLimits.MemoryMiB)
 	ctx, stop := notifyOnTermination(ctx)
 	defer stop()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -135,6 +135,9 @@
 	defer cancel(nil)
 	slog.Info("controller starting", "node", c.settings.Node, "partitions", c.partitionCount,
 		"public_sockets", c.publicSockets(), "command_slots", c.commandSlots.limit)
+	for _, ignored := range c.settings.IgnoredKeys {
+		slog.Warn("key of the settings file ignored", "key", ignored.Key, "setting", ignored.Setting)
+	}
 	var running sync.WaitGroup
 	for _, task := range c.backgroundTasks(ctx) {
 		running.Go(func() {
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -22,7 +22,7 @@
 type sourceIndex struct {
 	packages      map[string]bool // directories, such as internal/scheduler
 	identifiers   map[string]bool // package.Name, package.Type.Method and package.Type.Field
-	logMessages   map[string]bool // log messages of levels info and error
+	logMessages   map[string]bool // log messages of levels info, warn and error
 	debugMessages map[string]bool // log messages of level debug
 	tests         map[string]bool // names of tests and benchmarks
 }
@@ -162,7 +162,7 @@
 // nil if the function is not one of Info, Error and Debug.
 func (s *sourceIndex) messagesLoggedBy(function string) map[string]bool {
 	switch function {
-	case "Info", "Error":
+	case "Info", "Warn", "Error":
 		return s.logMessages
 	case "Debug":
 		return s.debugMessages
@@ -280,7 +280,7 @@
 	}
 }
 
-// Operators look up log messages in operations.md. It must list every message of level info or
+// Operators look up log messages in operations.md. It must list every message of level info, warn or
 // error and no message that is no longer logged.
 func TestLogMessagesAreDocumented(t *testing.T) {
 	s := indexSource(t)
--- a/internal/records/decode.go
+++ b/internal/records/decode.go
@@ -111,7 +111,7 @@
 	); err != nil {
 		return err
 	}
-	return f.MachineRecord.checkNonZero()
+	return f.checkNonZero()
 }
 
 // checkNonZero checks the fields that are never zero.
