Submit jobs with a name in capitals in the random scenarios, and check a worker's answers

Emulated users also submit jobs that have the name of a required field in capitals only; accepting one is a violation. A worker's answer to a direct request without its list of tasks is tested to count as a request without an answer. The decoders' options stand once.

--- a/internal/emulator/user.go
+++ b/internal/emulator/user.go
@@ -245,15 +245,19 @@
 	u.recordAnswer(id, answer, status, sent)
 }
 
-// SubmitInvalid submits three variants of a job that must be refused permanently: one that fits no
-// machine, one that lacks a field and one of an unknown team. It records a violation if one is
-// accepted, or if a later request for its status succeeds.
+// SubmitInvalid submits variants of a job that must be refused permanently: one that fits no machine, one
+// that lacks a field, one that has the name of a field in capitals only and one of an unknown team. It
+// records a violation if one is accepted, or if a later request for its status succeeds.
 func (u *User) SubmitInvalid(ctx context.Context, job *wire.Job) {
 	client := u.newClient()
 	defer client.CloseIdleConnections()
 	for i, change := range []func(body map[string]any){
 		func(body map[string]any) { body["cores"] = 1e6 },
 		func(body map[string]any) { delete(body, "pieces") },
+		func(body map[string]any) {
+			body["PIECES"] = body["pieces"]
+			delete(body, "pieces")
+		},
 		func(body map[string]any) { body["crew"] = "nobody" },
 	} {
 		body := submissionFields(job)
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -29,17 +29,25 @@
 
 var (
 	encMode = must(cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode())
-	decMode = must(cbor.DecOptions{
-		MaxNestedLevels:  maxNestedLevels,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		// An unknown field is ignored, even if its name differs from a known one only in case.
-		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		TagsMd:            cbor.TagsForbidden,
-	}.DecMode())
+	decMode = newDecMode(func(options *cbor.DecOptions) {
+		options.DupMapKey = cbor.DupMapKeyEnforcedAPF
+		options.TagsMd = cbor.TagsForbidden
+	})
 )
 
+// newDecMode returns a mode that decodes within the limits, and that compares field names exactly, so that
+// an unknown field is ignored even if its name differs from a known one only in case.
+func newDecMode(change func(options *cbor.DecOptions)) cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxNestedLevels:   maxNestedLevels,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxElements,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+	}
+	change(&options)
+	return must(options.DecMode())
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
--- a/internal/wire/job_id.go
+++ b/internal/wire/job_id.go
@@ -7,21 +7,13 @@
 )
 
 // submittedIDModes decode the ID of a job from a body that need not be a valid submission. The
-// first compares field names exactly. The second is that of versions that took a name in another
-// case for the field; a job that they accepted may be submitted again at any time.
+// second is that of versions that took a name in another case for the field; a job that they accepted
+// may be submitted again at any time.
 var submittedIDModes = []cbor.DecMode{
-	must(cbor.DecOptions{
-		MaxNestedLevels:   maxNestedLevels,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
-	}.DecMode()),
-	must(cbor.DecOptions{
-		MaxNestedLevels:   maxNestedLevels,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-		FieldNameMatching: cbor.FieldNameMatchingPreferCaseSensitive,
-	}.DecMode()),
+	newDecMode(func(*cbor.DecOptions) {}),
+	newDecMode(func(options *cbor.DecOptions) {
+		options.FieldNameMatching = cbor.FieldNameMatchingPreferCaseSensitive
+	}),
 }
 
 // SubmittedJobIDs returns the IDs under which this version or an earlier one may have stored the job
--- a/internal/wire/tags.go
+++ b/internal/wire/tags.go
@@ -26,11 +26,7 @@
 )
 
 // tagsDecMode accepts tags. It checks that an item with some is well-formed.
-var tagsDecMode = must(cbor.DecOptions{
-	MaxNestedLevels:  maxNestedLevels,
-	MaxArrayElements: maxElements,
-	MaxMapPairs:      maxElements,
-}.DecMode())
+var tagsDecMode = newDecMode(func(options *cbor.DecOptions) { options.TagsMd = cbor.TagsAllowed })
 
 // decodeIgnoringTags decodes a message that has tags in unknown fields, which are ignored. The
 // protocol has no tags, so a known field in one is an error.
--- a/internal/workerclient/client_test.go
+++ b/internal/workerclient/client_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"ambersill/internal/servertest"
 	"ambersill/internal/transport"
 	"ambersill/internal/wire"
 )
@@ -40,3 +41,18 @@
 		t.Fatal(executed, err)
 	}
 }
+
+// Guards against an answer without its list of tasks that counts as that of a machine without tasks. The
+// commands may have been executed.
+func TestIncompleteAnswerCountsAsSent(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusConflict} {
+		addr := servertest.Start(t, status, wire.Heartbeat{Machine: "m-1", Address: "10.1.0.1:9000", MachineType: "g8", Zone: "a", Incarnation: 1})
+		client := New(transport.TCP{}, time.Second)
+		t.Cleanup(client.http.CloseIdleConnections)
+		heartbeat, executed, err := client.SendCommands(context.Background(), addr, wire.CommandRequest{})
+		var missing *wire.ValidationError
+		if heartbeat != nil || executed || errors.Is(err, ErrNotSent) || !errors.As(err, &missing) {
+			t.Errorf("answer with status %d and without tasks: got %+v, executed %v, error %v, want a ValidationError only", status, heartbeat, executed, err)
+		}
+	}
+}
