Mark simulated controllers as ended before their hosts are shut down

Cause, in the harness: at the end of a simulation its context cancels the controllers and starts host.Shutdown, in any order. If the listener of a node closes before the controller's context has ended, the controller takes that for a fault and returns it. A crash marks the node first, the end of a simulation did not. Evidence: by reading only. Fix: the end marks the node first, as a crash does. A controller that exits before that still fails the test.

--- a/internal/controller/simulated_nodes_test.go
+++ b/internal/controller/simulated_nodes_test.go
@@ -44,7 +44,10 @@
 			cluster.t.Errorf("controller of node-%d exited without being stopped: %v", node, err)
 		}
 	}()
-	context.AfterFunc(cluster.ctx, host.Shutdown)
+	context.AfterFunc(cluster.ctx, func() {
+		crashed.Store(true) // the controller's own context may end after its listeners are closed
+		host.Shutdown()
+	})
 }
 
 // crashNode kills a node's controller if it is running.
